--- a/sesamespring/gateway/daemon.py
+++ b/sesamespring/gateway/daemon.py
@@ -112,6 +112,7 @@
             self._channels,
             self._counters,
             self._log,
+            settings.data_centre,
         )
         self._callers = CallerConnections(
             self._serve, self._connections_max(), self._caller_limits
--- a/sesamespring/gateway/datagrams.thrift
+++ b/sesamespring/gateway/datagrams.thrift
@@ -32,6 +32,7 @@
   9: required i32 attempts_left
   10: required i32 round
   11: required list<string> tried
+  12: required string data_centre
 }
 
 /* Says that a request waits in the queue. */
--- a/sesamespring/gateway/forwarding.py
+++ b/sesamespring/gateway/forwarding.py
@@ -50,6 +50,7 @@
         channels: The TargetChannels.
         counters: The Counters.
         log: The EventLog.
+        data_centre: The data centre of this VM.
         longest_timeouts_s: Dict by route of the longest time that a caller gave.
     """
 
@@ -59,6 +60,7 @@
     channels: object
     counters: object
     log: object
+    data_centre: str
     longest_timeouts_s: dict = attrs.field(factory=dict)
 
 
@@ -156,6 +158,7 @@
             deadline_s=deadline_s,
             idempotent=route.idempotent,
             attempts_left=route.attempts_max,
+            data_centre=self._context.data_centre,
         )
         incoming.on_gone = lambda: self._inbox.put_nowait(GONE)
         timer = self._loop.call_at(deadline_s, self._inbox.put_nowait, OUT_OF_TIME)
--- a/sesamespring/gateway/questions.py
+++ b/sesamespring/gateway/questions.py
@@ -2,9 +2,9 @@
 
 from sesamespring.gateway.metrics import CONTENT_TYPE, render
 from sesamespring.platform.directory import (
-    asked_host,
     directory_answer,
     is_ready_question,
+    read_directory_question,
 )
 from sesamespring.platform.store import read_feed_question
 
@@ -33,17 +33,17 @@
 
     async def answer(self, incoming):
         """Answer one IncomingRequest."""
-        host = asked_host(incoming.target)
+        question = read_directory_question(incoming.target)
         routes = self._routes()
-        if host is None:
+        if question is None:
             incoming.send_whole(404, [], b"")
             return
         if routes is None:
             incoming.send_whole(503, [], b"")
             return
         # Hosts without routes still get VMs, which then answer for themselves.
-        service = routes.main_service(host) or host
-        named = self._services.named(service)
+        service = routes.main_service(question.host) or question.host
+        named = self._services.named(service, question.data_centre)
         addresses = [(member.ip, self._port) for member in named]
         incoming.send_whole(200, JSON, directory_answer(addresses, self._ttl_s))
 
--- a/sesamespring/gateway/services.py
+++ b/sesamespring/gateway/services.py
@@ -46,10 +46,21 @@
             order = self._orders[service] = rank(service, self._weights())
         return order
 
-    def named(self, service):
-        """Return the Members that callers of a service are sent to."""
+    def named(self, service, data_centre):
+        """Return the Members that callers of a service are sent to.
+
+        Those in the callers' data centre are enough, as they get their slots from the
+        VM that decides; others are named where there are too few.
+
+        Args:
+            service: Name of the service.
+            data_centre: Data centre of the callers.
+        """
         members = {**self._peers.alive, self._settings.name: self._peers.own}
-        return [members[name] for name in self.order(service)[:NAMED_VMS]]
+        order = [members[name] for name in self.order(service)]
+        near = [member for member in order if member.data_centre == data_centre]
+        far = [member for member in order if member.data_centre != data_centre]
+        return (near + far)[:NAMED_VMS]
 
     def is_holder(self, service):
         """Whether this VM decides for a service."""
@@ -102,7 +113,7 @@
         budget = RetryBudget(
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s
         )
-        return ServiceScheduler(declaration, self._settings.data_centre, bounds, budget)
+        return ServiceScheduler(declaration, bounds, budget)
 
     def _weights(self):
         own = self._peers.own
--- a/sesamespring/gateway/slots.py
+++ b/sesamespring/gateway/slots.py
@@ -178,7 +178,8 @@
             idempotent=request.idempotent,
             attempts_left=request.attempts_left,
             round=ticket.round,
-            tried=[id for id, _ in request.tried],
+            tried=[target_id for target_id, _ in request.tried],
+            data_centre=request.data_centre,
         )
         self._peers.send(wanted, ticket.holder.ip)
         ticket.timer = self._loop.call_later(FIRST_ANSWER_S, self._unanswered, ticket)
@@ -356,6 +357,7 @@
             deadline_s=now_s + message.deadline_in_s,
             idempotent=message.idempotent,
             attempts_left=message.attempts_left,
+            data_centre=message.data_centre,
         )
         borrowed = _Borrowed(
             ip, message.request, message.service_name, request, 0, None
--- a/sesamespring/platform/directory.py
+++ b/sesamespring/platform/directory.py
@@ -3,22 +3,44 @@
 import json
 from urllib.parse import parse_qs, urlsplit
 
-__all__ = ["directory_answer", "is_ready_question", "asked_host"]
+import attrs
+
+__all__ = [
+    "DirectoryQuestion",
+    "directory_answer",
+    "is_ready_question",
+    "read_directory_question",
+]
 
 RESOLVE_PATH = "/-/resolve"
 READY_PATH = "/-/ready"
 
 
-def asked_host(target):
-    """Return the host that a caller asks about, or None for another question.
+@attrs.frozen
+class DirectoryQuestion:
+    """A caller asks which VMs to use.
+
+    Attributes:
+        host: The host that it wants to call, in lower case.
+        data_centre: The caller's data centre, or an empty text.
+    """
+
+    host: str
+    data_centre: str
+
+
+def read_directory_question(target):
+    """Decode a request target as a DirectoryQuestion, or None for another question.
 
-    >>> asked_host("/-/resolve?name=a.example&region=r&zone=z")
-    'a.example'
+    >>> read_directory_question("/-/resolve?name=a.example&region=r&zone=z")
+    DirectoryQuestion(host='a.example', data_centre='z')
     """
     parts = urlsplit(target)
     if parts.path != RESOLVE_PATH:
         return None
-    return parse_qs(parts.query).get("name", [""])[0].lower()
+    query = parse_qs(parts.query)
+    host = query.get("name", [""])[0].lower()
+    return DirectoryQuestion(host, query.get("zone", [""])[0])
 
 
 def is_ready_question(target):
--- a/sesamespring/routing/messages.py
+++ b/sesamespring/routing/messages.py
@@ -70,6 +70,7 @@
         tried: Keys of targets that it was sent to.
         attempts: Dict of target key by number of the attempt in progress.
         extra: Whether its next attempt counts as an extra one.
+        data_centre: Data centre of the VM that sends it.
     """
 
     number: int
@@ -84,6 +85,7 @@
     tried: set = attrs.field(factory=set)
     attempts: dict = attrs.field(factory=dict)
     extra: bool = False
+    data_centre: str = ""
 
 
 @attrs.frozen
--- a/sesamespring/routing/placement.py
+++ b/sesamespring/routing/placement.py
@@ -35,11 +35,18 @@
     choice_factor: float
     full: bool
 
-    def end_s(self, usual_s, now_s):
-        """Return when a request is expected to end there, for choosing."""
+    def end_s(self, usual_s, now_s, data_centre):
+        """Return when a request is expected to end there, for choosing.
+
+        Args:
+            usual_s: Usual seconds of the request.
+            now_s: The time now.
+            data_centre: Data centre of the VM that sends it.
+        """
         wait_s = max(0.0, self.free_s - now_s) * WAIT_DOUBT
         end_s = now_s + wait_s + usual_s * self.choice_factor
-        return end_s if self.state.local else end_s + REMOTE_S
+        local = self.state.entry.data_centre == data_centre
+        return end_s if local else end_s + REMOTE_S
 
 
 @attrs.frozen
@@ -122,7 +129,7 @@
         for slot in slots:
             if slot.state.entry.key in request.tried:
                 continue
-            end_s = slot.end_s(seconds, now_s)
+            end_s = slot.end_s(seconds, now_s, request.data_centre)
             if end_s < best_end_s:
                 best, best_end_s = slot, end_s
         starts_now = best is not None and best.free_s <= now_s
--- a/sesamespring/routing/scheduler.py
+++ b/sesamespring/routing/scheduler.py
@@ -17,6 +17,10 @@
 
 HEDGE_FACTOR = 4.0
 HEDGE_LEAST_S = 0.05
+# An attempt that takes this much longer than expected may be slow for good.
+RESCUE_FACTOR = 1.5
+# Part of a second attempt's time that is left to wait for the first one.
+RESCUE_MARGIN = 0.5
 REJECTED_REST_S = 0.05
 UNREACHABLE_REST_S = 0.5
 SLOWDOWN_WEIGHT = 0.02
@@ -32,14 +36,12 @@
 
     Args:
         declaration: The ServiceDeclaration.
-        data_centre: The data centre of this VM.
         bounds: Object with ``cold_ratio`` and ``cold_slack``.
         budget: The RetryBudget of the service at this VM.
     """
 
-    def __init__(self, declaration, data_centre, bounds, budget):
+    def __init__(self, declaration, bounds, budget):
         self._declaration = declaration
-        self._data_centre = data_centre
         self._bounds = bounds
         self._budget = budget
         self._states = {}
@@ -93,7 +95,7 @@
         for entry in entries:
             state = self._states.get(entry.key)
             if state is None:
-                state = TargetState(entry, entry.data_centre == self._data_centre)
+                state = TargetState(entry)
                 state.cold_until_s = now_s + entry.cold_left_s
             elif entry.cold_left_s > 0:
                 left_s = now_s + entry.cold_left_s
@@ -237,34 +239,54 @@
         self._waiting.clear()
 
     def _hedge(self, now_s, commands):
-        """Send overdue idempotent requests to a second target that is free."""
+        """Send overdue idempotent requests to a second target that is free.
+
+        Load that it answers: slots are free, but targets turn slow under the work.
+        """
         for attempt, (request, state) in tuple(self._attempts.items()):
-            if not self._is_overdue(request, state.work[attempt], now_s):
+            work = state.work[attempt]
+            if not self._may_hedge(request):
+                continue
+            elapsed_s = now_s - work.sent_s
+            if elapsed_s < RESCUE_FACTOR * work.expected_s:
                 continue
             slot = self._hedge_slot(request, now_s)
-            if slot is None or not self._budget.spend(now_s, self._vms):
+            if slot is None:
+                continue
+            hopeless = elapsed_s > max(HEDGE_LEAST_S, HEDGE_FACTOR * work.expected_s)
+            if not hopeless and not self._rescues(request, slot, now_s):
+                continue
+            if not self._budget.spend(now_s, self._vms):
                 return
             commands.append(self._dispatch(request, slot, now_s, True))
 
-    def _is_overdue(self, request, work, now_s):
+    def _may_hedge(self, request):
         if not request.idempotent or request.attempts_left <= 0:
             return False
         if len(request.attempts) != 1 or request.number not in self._requests:
             return False
-        if not self._times.is_known(request.route):
+        return self._times.is_known(request.route)
+
+    def _rescues(self, request, slot, now_s):
+        """Whether a second attempt makes the goal, and a later one would not."""
+        end_s = slot.end_s(self._usual_s(request), now_s, request.data_centre)
+        if end_s > request.due_s:
             return False
-        allowed_s = max(HEDGE_LEAST_S, HEDGE_FACTOR * work.expected_s)
-        return now_s - work.sent_s > allowed_s
+        return end_s + RESCUE_MARGIN * (end_s - now_s) > request.due_s
 
     def _hedge_slot(self, request, now_s):
-        usual_s = self._usual_s(request)
         free = [
             slot
             for slot in self._slots(now_s)
             if slot.free_s <= now_s and slot.state.entry.key not in request.tried
         ]
-        slot = min(free, key=lambda s: s.end_s(usual_s, now_s), default=None)
-        if slot is None or slot.end_s(usual_s, now_s) > request.deadline_s:
+        usual_s = self._usual_s(request)
+
+        def end_s(slot):
+            return slot.end_s(usual_s, now_s, request.data_centre)
+
+        slot = min(free, key=end_s, default=None)
+        if slot is None or end_s(slot) > request.deadline_s:
             return None
         return slot
 
--- a/sesamespring/routing/target_state.py
+++ b/sesamespring/routing/target_state.py
@@ -57,7 +57,6 @@
 
     Attributes:
         entry: Its TargetEntry.
-        local: Whether it is in this VM's data centre.
         in_service: Whether its registration and data centre let it get requests.
         work: Dict of Work by attempt.
         cold_until_s: Time until which it is in cold start.
@@ -75,7 +74,6 @@
     """
 
     entry: TargetEntry
-    local: bool
     in_service: bool = True
     work: dict = attrs.field(factory=dict)
     cold_until_s: float = -math.inf
--- a/tests/routing/test_scheduler.py
+++ b/tests/routing/test_scheduler.py
@@ -128,6 +128,27 @@
     assert made.advance(now_s + 1.0) == []
 
 
+def test_overdue_request_is_rescued_while_its_goal_can_still_be_made():
+    made = scheduler(target("a"), target("b"))
+    now_s = teach(made)
+    (first,) = made.submit(request(now_s, goal_s=0.2, timeout_s=3.0), now_s)
+    # Overdue, but there is time to wait for the first attempt.
+    assert made.advance(now_s + 0.08) == []
+    (rescue,) = made.advance(now_s + 0.13)
+    assert rescue.hedge
+    assert rescue.entry.id != first.entry.id
+
+
+def test_no_rescue_where_the_goal_is_lost_or_others_wait():
+    made = scheduler(target("a", slots=1), target("b", slots=1))
+    now_s = teach(made)
+    made.submit(request(now_s, goal_s=0.1, timeout_s=3.0), now_s)
+    assert made.advance(now_s + 0.09) == []
+    made.submit(request(now_s + 0.1, goal_s=1.0, timeout_s=3.0), now_s + 0.1)
+    made.submit(request(now_s + 0.1, goal_s=1.0, timeout_s=3.0), now_s + 0.1)
+    assert made.advance(now_s + 0.11) == []
+
+
 def test_overdue_request_that_may_run_once_is_left_alone():
     made = scheduler(target("a", slots=1), target("b", slots=1))
     now_s = teach(made)
