Let large VMs decide and read the store; name as many VMs as the slots need

Change: deciders and readers are taken from VMs with at least half of the largest one's cores; the directory names VMs of the caller's data centre until their cores fit the service's slots; a follower leaves a reader that falls silent, or when heartbeats tell of changes that have not come, so it may wait longer in one call (3 s, before 0.7 s).

--- a/sesamespring/gateway/daemon.py
+++ b/sesamespring/gateway/daemon.py
@@ -194,8 +194,8 @@
             "ready": self._ready,
             "leaving": self._leaving,
             "store_reached": self._following.store_reached,
-            "operator_version": self._estate.operator.version,
-            "targets_version": self._estate.registrations.version,
+            "operator_version": self._estate.operator.changed_version,
+            "targets_version": self._estate.registrations.changed_version,
         }
 
     def _connections_max(self):
--- a/sesamespring/gateway/following.py
+++ b/sesamespring/gateway/following.py
@@ -11,16 +11,26 @@
 import attrs
 from returns.result import Failure
 
-from sesamespring.errors import OutsideError
+from sesamespring.errors import ErrorKind, OutsideError
+from sesamespring.platform.declared import OPERATOR_TABLE
+from sesamespring.platform.registrations import TARGETS_TABLE
 from sesamespring.platform.store import StoreClient, encode_changes
+from sesamespring.routing.deciders import reader_names
 from sesamespring.routing.holders import rank
 
 __all__ = ["Following", "FeedServer"]
 
-READERS = 2
 STORE_TIMEOUT_S = 0.8
 PEER_TIMEOUT_S = 0.3
-PEER_WAIT_S = 0.7
+# A reader that falls silent is left at once, so a long wait does no harm.
+PEER_WAIT_S = 3.0
+CHECK_S = 0.2
+# A connection may fall silent while its reader lives.
+CHECKS_BEHIND = 3
+VERSION_FIELDS = {
+    OPERATOR_TABLE: "operator_version",
+    TARGETS_TABLE: "targets_version",
+}
 PEER_WAIT_MAX_S = 5.0
 STORE_TRIAL_S = 3.0
 RETRY_S = 0.15
@@ -91,7 +101,7 @@
             source = self._choose(replica)
             started_s = time.monotonic()
             try:
-                await self._fetch(source, replica)
+                await self._fetch_while_alive(source, replica)
             except OutsideError as error:
                 self._failed(source, replica, error)
                 await asyncio.sleep(RETRY_S)
@@ -106,7 +116,7 @@
             client.close()
 
     def _choose(self, replica):
-        readers = self._readers()
+        readers = reader_names([*self._peers.alive.values(), self._peers.own])
         own = self._settings.name
         alone = self._failures.get(replica.name, 0) >= ALONE_AFTER_FAILURES
         now_s = time.monotonic()
@@ -120,24 +130,6 @@
         name = preferred[failures % len(preferred)]
         return self._peer_source(replica, self._peers.alive[name])
 
-    def _readers(self):
-        """Return the names of the VMs that read the store."""
-        own = self._peers.own
-        members = {m.name: m for m in (*self._peers.alive.values(), own)}
-        fit = {
-            name: 1.0
-            for name, member in members.items()
-            if member.store_reached and not member.leaving
-        }
-        order = rank("readers", fit or dict.fromkeys(members, 1.0))
-        first = order[:1]
-        elsewhere = [
-            name
-            for name in order[1:]
-            if members[name].data_centre != members[first[0]].data_centre
-        ]
-        return first + (elsewhere or order[1:])[: READERS - 1]
-
     def _store_source(self, replica):
         pace = self._paces[replica.name]
         client = self._client("store", replica, self._settings.store_address)
@@ -161,6 +153,31 @@
     def _count_call(self, kind):
         self._counters.add("store_calls", kind=kind)
 
+    async def _fetch_while_alive(self, source, replica):
+        """Fetch from a source; leave it where it is a VM that falls silent."""
+        if source.is_store:
+            await self._fetch(source, replica)
+            return
+        fetching = asyncio.ensure_future(self._fetch(source, replica))
+        behind = 0
+        try:
+            while not fetching.done():
+                await asyncio.wait((fetching,), timeout=CHECK_S)
+                behind = behind + 1 if self._is_behind(replica) else 0
+                silent = not self._peers.is_alive(source.name)
+                if not fetching.done() and (silent or behind >= CHECKS_BEHIND):
+                    detail = "silent" if silent else "others know of newer changes"
+                    raise OutsideError(ErrorKind.PLATFORM_AWAY, detail)
+            fetching.result()
+        finally:
+            fetching.cancel()
+
+    def _is_behind(self, replica):
+        """Whether heartbeats tell of changes that have not come here."""
+        field = VERSION_FIELDS[replica.name]
+        known = [getattr(member, field) for member in self._peers.alive.values()]
+        return max(known, default=0) > replica.changed_version
+
     async def _fetch(self, source, replica):
         if not replica.loaded:
             changes = await source.client.read_table(replica.name)
--- a/sesamespring/gateway/replica.py
+++ b/sesamespring/gateway/replica.py
@@ -25,12 +25,14 @@
 
     Attributes:
         version: The store's version up to which the copy is complete.
+        changed_version: The version of its newest change that matters.
         known_s: Time at which that was so, on the monotonic clock, or None.
         gap_ended_s: Time at which the copy was complete again after a gap, or None.
     """
 
     def __init__(self, name, means_same=lambda old, new: old == new):
         self.version = 0
+        self.changed_version = 0
         self.known_s = None
         self.gap_ended_s = None
         self._name = name
@@ -73,7 +75,10 @@
 
     def apply(self, changes):
         """Take in changes, and return the keys of rows that changed."""
-        keys = {row.key for row in changes.rows if self._apply_row(row)}
+        changed = [row for row in changes.rows if self._apply_row(row)]
+        keys = {row.key for row in changed}
+        for row in changed:
+            self.changed_version = max(self.changed_version, row.version)
         self.version = max(self.version, changes.version)
         self._note_age(time.monotonic() - changes.age_s)
         if keys:
--- a/sesamespring/gateway/services.py
+++ b/sesamespring/gateway/services.py
@@ -4,13 +4,11 @@
 
 from sesamespring.gateway.runner import ServiceRunner
 from sesamespring.routing.budget import RetryBudget
-from sesamespring.routing.holders import rank
+from sesamespring.routing.deciders import decision_order, named_vms
 from sesamespring.routing.scheduler import ServiceScheduler
 
 __all__ = ["Services"]
 
-NAMED_VMS = 2
-
 
 class Services:
     """One ServiceRunner for each declared service, and who decides for it.
@@ -28,7 +26,8 @@
         self._peers = peers
         self._channels = channels
         self._runners = {}
-        self._orders = {}
+        self._holders = {}
+        self._named = {}
         self._loop = asyncio.get_running_loop()
 
     def runner(self, service):
@@ -37,30 +36,21 @@
 
     def holder(self, service):
         """Return the name of the VM that decides for a service."""
-        return self.order(service)[0]
-
-    def order(self, service):
-        """Return the names of all VMs that serve, the preferred ones first."""
-        order = self._orders.get(service)
-        if order is None:
-            order = self._orders[service] = rank(service, self._weights())
-        return order
+        holder = self._holders.get(service)
+        if holder is None:
+            holder = decision_order(service, self._serving())[0]
+            self._holders[service] = holder
+        return holder
 
     def named(self, service, data_centre):
-        """Return the Members that callers of a service are sent to.
-
-        Those in the callers' data centre are enough, as they get their slots from the
-        VM that decides; others are named where there are too few.
-
-        Args:
-            service: Name of the service.
-            data_centre: Data centre of the callers.
-        """
-        members = {**self._peers.alive, self._settings.name: self._peers.own}
-        order = [members[name] for name in self.order(service)]
-        near = [member for member in order if member.data_centre == data_centre]
-        far = [member for member in order if member.data_centre != data_centre]
-        return (near + far)[:NAMED_VMS]
+        """Return the Members that callers in a data centre are sent to."""
+        key = (service, data_centre)
+        named = self._named.get(key)
+        if named is None:
+            slots = sum(entry.slots for entry in self._estate.targets(service))
+            named = named_vms(service, self._serving(), data_centre, slots)
+            self._named[key] = named
+        return named
 
     def is_holder(self, service):
         """Whether this VM decides for a service."""
@@ -79,7 +69,8 @@
 
     def update(self):
         """Take in a change of the estate or of the VMs."""
-        self._orders.clear()
+        self._holders.clear()
+        self._named.clear()
         configuration = self._estate.configuration
         if configuration is None:
             return
@@ -115,8 +106,8 @@
         )
         return ServiceScheduler(declaration, bounds, budget)
 
-    def _weights(self):
+    def _serving(self):
+        """Return the Members that serve; this VM where there are none."""
         own = self._peers.own
         members = [*self._peers.alive.values(), own]
-        serving = {m.name: m.cores for m in members if m.ready and not m.leaving}
-        return serving or {own.name: own.cores}
+        return [m for m in members if m.ready and not m.leaving] or [own]
--- /dev/null
+++ b/sesamespring/routing/deciders.py
@@ -0,0 +1,72 @@
+"""Choose the VMs that decide for a service, read the store and take callers' requests.
+
+Load that it answers: VMs of unequal size, from a dozen to some hundred. What one VM
+does for all others goes to the large ones; callers go to as many VMs of their data
+centre as the service's slots need.
+"""
+
+from sesamespring.routing.holders import rank
+
+__all__ = ["decision_order", "named_vms", "reader_names"]
+
+# A VM does work for all others if it has at least this part of the largest one's cores.
+LARGE_PART = 0.5
+NAMED_LEAST = 2
+NAMED_MOST = 16
+# How many slots of a service one core keeps busy with ease.
+SLOTS_PER_CORE = 8.0
+READERS = 2
+
+
+def decision_order(subject, members):
+    """Return names in the order in which VMs decide for a subject, large ones first.
+
+    Args:
+        subject: What they decide, such as a service's name.
+        members: The Members that serve.
+    """
+    largest = max((member.cores for member in members), default=0.0)
+    large = {m.name: m.cores for m in members if m.cores >= LARGE_PART * largest}
+    small = {m.name: m.cores for m in members if m.name not in large}
+    return rank(subject, large) + rank(subject, small)
+
+
+def named_vms(service, members, data_centre, slots):
+    """Return the Members that callers of a service are sent to.
+
+    Those in the callers' data centre are enough, as they get their slots from the VM
+    that decides; others are named where there are too few.
+
+    Args:
+        service: Name of the service.
+        members: The Members that serve.
+        data_centre: Data centre of the callers.
+        slots: How many slots the service's targets have.
+    """
+    by_name = {member.name: member for member in members}
+    order = [by_name[n] for n in rank(service, {m.name: m.cores for m in members})]
+    near = [member for member in order if member.data_centre == data_centre]
+    far = [member for member in order if member.data_centre != data_centre]
+    data_centres = len({member.data_centre for member in members}) or 1
+    needed_cores = slots / data_centres / SLOTS_PER_CORE
+    named = []
+    for member in near[:NAMED_MOST]:
+        if len(named) >= NAMED_LEAST and sum(m.cores for m in named) >= needed_cores:
+            break
+        named.append(member)
+    return named + far[: max(0, NAMED_LEAST - len(named))]
+
+
+def reader_names(members):
+    """Return the names of the VMs that read the store, in different data centres.
+
+    Args:
+        members: The Members that are alive.
+    """
+    staying = [m for m in members if not m.leaving]
+    fit = [m for m in staying if m.store_reached] or staying or list(members)
+    data_centres = {member.name: member.data_centre for member in fit}
+    order = decision_order("readers", fit)
+    first = order[:1]
+    elsewhere = [n for n in order[1:] if data_centres[n] != data_centres[first[0]]]
+    return first + (elsewhere or order[1:])[: READERS - 1]
--- a/sesamespring/routing/membership.py
+++ b/sesamespring/routing/membership.py
@@ -23,8 +23,8 @@
         ready: Whether it serves requests.
         leaving: Whether it is about to stop.
         store_reached: Whether its last call of the store was answered.
-        operator_version: Version up to which it knows the operator's table.
-        targets_version: Version up to which it knows the targets' table.
+        operator_version: Version of the newest change it knows of the operator's table.
+        targets_version: The same of the targets' table.
     """
 
     name: str
--- /dev/null
+++ b/tests/routing/test_deciders.py
@@ -0,0 +1,71 @@
+"""Test who decides, who reads the store and whom callers are sent to."""
+
+import attrs
+
+from sesamespring.routing.deciders import decision_order, named_vms, reader_names
+from sesamespring.routing.membership import Member
+
+
+def member(name, data_centre="dc-a", cores=1.0, **changes):
+    fields = {
+        "ready": True,
+        "leaving": False,
+        "store_reached": True,
+        "operator_version": 1,
+        "targets_version": 1,
+        **changes,
+    }
+    return Member(name, f"ip-{name}", data_centre, 1, 1, cores, **fields)
+
+
+def members(count, **changes):
+    return [member(f"vm-{n}", f"dc-{n % 3}", **changes) for n in range(count)]
+
+
+def test_small_vms_decide_only_where_no_large_one_is_left():
+    small = [member(f"small-{n}", cores=0.4) for n in range(20)]
+    large = [member(f"large-{n}", cores=2.0) for n in range(3)]
+    order = decision_order("s", [*small, *large])
+    assert {name.split("-")[0] for name in order[:3]} == {"large"}
+    assert len(order) == 23
+
+
+def test_one_vm_that_leaves_moves_no_other_decision():
+    vms = members(12)
+    subjects = [f"s{n}" for n in range(50)]
+    before = {s: decision_order(s, vms)[0] for s in subjects}
+    after = {s: decision_order(s, vms[1:])[0] for s in subjects}
+    moved = {s for s in subjects if before[s] != after[s]}
+    assert moved == {s for s in subjects if before[s] == "vm-0"}
+
+
+def test_callers_are_sent_to_their_own_data_centre():
+    named = named_vms("s", members(12), "dc-1", slots=18)
+    assert len(named) == 2
+    assert {m.data_centre for m in named} == {"dc-1"}
+
+
+def test_callers_of_a_data_centre_without_vms_are_sent_elsewhere():
+    named = named_vms("s", members(12), "dc-9", slots=18)
+    assert len(named) == 2
+
+
+def test_more_slots_need_more_vms():
+    vms = members(96, cores=0.5)
+    assert len(named_vms("s", vms, "dc-0", slots=96)) == 8
+
+
+def test_readers_are_in_different_data_centres_and_reach_the_store():
+    vms = members(12)
+    cut = [
+        attrs.evolve(m, store_reached=m.data_centre == "dc-2") if n < 6 else m
+        for n, m in enumerate(vms)
+    ]
+    by_name = {m.name: m for m in cut}
+    readers = reader_names(cut)
+    assert len({by_name[name].data_centre for name in readers}) == 2
+    assert all(by_name[name].store_reached for name in readers)
+
+
+def test_where_nobody_reaches_the_store_two_keep_trying():
+    assert len(reader_names(members(5, store_reached=False))) == 2
