Tell a gap in what is known from a quiet spell, so that removed targets leave at once

A follower that heard nothing for the 3 s of its call looked like one that had been cut from the store, so it kept the removed targets for 2.5 s more; that breaks the drain bound for targets that leave without a word. Ruled out: the reader, which logged the removal without a gap. test_removed_target_gets_nothing_more failed first (1 request at the removed target), and passes.

--- a/sesamespring/gateway/following.py
+++ b/sesamespring/gateway/following.py
@@ -22,8 +22,7 @@
 
 STORE_TIMEOUT_S = 0.8
 PEER_TIMEOUT_S = 0.3
-# A reader that falls silent is left at once, so a long wait does no harm.
-PEER_WAIT_S = 3.0
+PEER_WAIT_S = 1.0
 CHECK_S = 0.2
 # A connection may fall silent while its reader lives.
 CHECKS_BEHIND = 3
--- a/sesamespring/gateway/replica.py
+++ b/sesamespring/gateway/replica.py
@@ -8,8 +8,9 @@
 __all__ = ["TableReplica"]
 
 TOMBSTONES_MAX = 2048
-# A copy that was not complete for longer was cut from the store.
-GAP_S = 1.5
+# A copy that was not complete for longer was cut from the store. Without a change, a
+# follower hears of its reader's copy once in PEER_WAIT_S and the reader's own interval.
+GAP_S = 2.5
 
 
 class TableReplica:
--- a/standins/store.py
+++ b/standins/store.py
@@ -175,6 +175,8 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(int(query["waitMs"]) / 1000), self._changed:
                 await self._changed.wait_for(lambda: self._changes(table, after))
+        if after < self._history_from:
+            return 410, {}
         return 200, {"rows": self._changes(table, after), "ver": self._version}
 
     def _changes(self, table, after):
--- a/tests/gateway/test_faults.py
+++ b/tests/gateway/test_faults.py
@@ -125,10 +125,25 @@
     play(scenario)
 
 
+def test_removed_target_gets_nothing_more_where_the_store_was_not_away():
+    async def scenario(estate):
+        # Without changes for long, so that followers only hear that nothing changed.
+        await asyncio.sleep(4.0)
+        await estate.store.drop("servers", estate.targets[0].id)
+        await asyncio.sleep(1.5)
+        before = len(estate.targets[0].received)
+        for number in range(12):
+            ip = estate.ips[number % 4]
+            assert await served(estate, ip, "/read/1", f"r{number}")
+        assert len(estate.targets[0].received) == before
+
+    play(scenario, vms=4)
+
+
 def test_targets_that_lapsed_with_the_store_are_kept_until_they_are_back():
     async def scenario(estate):
         estate.store.faults.away = True
-        await asyncio.sleep(2.5)
+        await asyncio.sleep(3.5)
         for target in estate.targets:
             await estate.store.drop("servers", target.id)
         estate.store.faults.away = False
