Bound what one plan costs, and let only the deciding VM send health checks

Ruled out: heartbeats (320 a second, 2% of a core). Change: health checks only where this VM decides; a plan compares at most 1,000 pairs and estimates the rest from the rate of all slots; costs of targets are kept for 20 ms; the end of an attempt does not judge the whole queue.

--- a/sesamespring/cli/main.py
+++ b/sesamespring/cli/main.py
@@ -8,6 +8,7 @@
 from sesamespring.cli.audit import audit
 from sesamespring.cli.check import check_resources, check_settings
 from sesamespring.cli.entry import entry
+from sesamespring.cli.gateway import gateway
 from sesamespring.cli.in_force import in_force
 from sesamespring.cli.record import record
 from sesamespring.cli.replay import replay
@@ -21,6 +22,7 @@
 
 COMMANDS = (
     entry,
+    gateway,
     check_settings,
     check_resources,
     apply,
--- a/sesamespring/gateway/services.py
+++ b/sesamespring/gateway/services.py
@@ -57,14 +57,18 @@
         return self.holder(service) == self._settings.name
 
     def probed(self):
-        """Return pairs of ServiceRunner and health path to send health checks for."""
+        """Return pairs of ServiceRunner and health path to send health checks for.
+
+        Only the VM that decides for a service asks its targets, so that their number
+        does not grow with the VMs.
+        """
         configuration = self._estate.configuration
         if configuration is None:
             return []
         return [
             (runner, configuration.services[name].health_path)
             for name, runner in self._runners.items()
-            if runner.in_use and name in configuration.services
+            if name in configuration.services and runner.in_use and self.is_holder(name)
         ]
 
     def update(self):
--- a/sesamespring/routing/placement.py
+++ b/sesamespring/routing/placement.py
@@ -21,14 +21,18 @@
 
     Attributes:
         state: The TargetState.
+        key: Key of the target.
+        data_centre: Data centre of the target.
         free_s: Time from which it is free.
         factor: How many times longer than usual a request takes in it.
         state_factor: The part of that without what a full target adds.
-        choice_factor: The same with what failures there cost.
-        full: Whether it is the target's last slot.
+        choice_factor: The factor with what failures there cost.
+        full: Whether it is the last of several slots of the target.
     """
 
     state: object
+    key: tuple
+    data_centre: str
     free_s: float
     factor: float
     state_factor: float
@@ -43,13 +47,12 @@
             now_s: The time now.
             data_centre: Data centre of the VM that sends it.
         """
-        wait_s = max(0.0, self.free_s - now_s) * WAIT_DOUBT
-        end_s = now_s + wait_s + usual_s * self.choice_factor
-        local = self.state.entry.data_centre == data_centre
-        return end_s if local else end_s + REMOTE_S
+        start_s = _start_s(self.free_s, now_s)
+        remote_s = 0.0 if self.data_centre == data_centre else REMOTE_S
+        return start_s + usual_s * self.choice_factor + remote_s
 
 
-@attrs.frozen
+@attrs.frozen(slots=True)
 class Assignment:
     """A request and the slot that it is expected to get.
 
@@ -86,27 +89,26 @@
             free = min(free, state.cold_limit.room(now_s, cold_most))
             if not free:
                 continue
-        slots += _slots_of(state, free, now_s, usual_slowdown, crowding)
+        _add_slots(slots, state, free, now_s, usual_slowdown, crowding)
     return slots
 
 
-def _slots_of(state, free, now_s, usual_slowdown, crowding):
-    factor = state.factor(now_s, usual_slowdown)
-    choice = factor * state.reliability_cost(now_s)
-    several = state.entry.slots > 1
+def _add_slots(slots, state, free, now_s, usual_slowdown, crowding):
+    factor, choice = state.costs(now_s, usual_slowdown)
+    entry = state.entry
+    several = entry.slots > 1
+    place = (state, entry.key, entry.data_centre)
     busy = len(state.work)
-    slots = []
     for index in range(free):
-        full = several and busy + index + 1 >= state.entry.slots
+        full = several and busy + index + 1 >= entry.slots
         crowd = crowding if full else 1.0
-        slots.append(Slot(state, now_s, factor * crowd, factor, choice * crowd, full))
+        slots.append(Slot(*place, now_s, factor * crowd, factor, choice * crowd, full))
     crowd = crowding if several else 1.0
     for work in state.work.values():
         free_s = work.ends_s(now_s)
         slots.append(
-            Slot(state, free_s, factor * crowd, factor, choice * crowd, several)
+            Slot(*place, free_s, factor * crowd, factor, choice * crowd, several)
         )
-    return slots
 
 
 def assign(requests, slots, usual_s, now_s):
@@ -114,7 +116,7 @@
 
     Args:
         requests: List of ScheduledRequests, the most urgent first.
-        slots: List of Slots; their ``free_s`` moves on as they are assigned.
+        slots: List of Slots.
         usual_s: Function from a ScheduledRequest to its usual seconds.
         now_s: The time now.
 
@@ -122,18 +124,40 @@
         List of Assignment.
     """
     result = []
+    starts_s = [_start_s(slot.free_s, now_s) for slot in slots]
     for request in requests:
         seconds = usual_s(request)
-        best = None
-        best_end_s = float("inf")
-        for slot in slots:
-            if slot.state.entry.key in request.tried:
-                continue
-            end_s = slot.end_s(seconds, now_s, request.data_centre)
-            if end_s < best_end_s:
-                best, best_end_s = slot, end_s
-        starts_now = best is not None and best.free_s <= now_s
-        result.append(Assignment(request, best, best_end_s, starts_now))
-        if best is not None:
-            best.free_s = max(now_s, best.free_s) + seconds * best.factor
+        index, end_s = _earliest(request, seconds, slots, starts_s)
+        if index is None:
+            result.append(Assignment(request, None, end_s))
+            continue
+        slot = slots[index]
+        starts_now = starts_s[index] <= now_s
+        result.append(Assignment(request, slot, end_s, starts_now))
+        starts_s[index] += seconds * slot.factor * WAIT_DOUBT
     return result
+
+
+def _earliest(request, seconds, slots, starts_s):
+    """Return the index of the slot where a request ends earliest, and the end."""
+    data_centre, tried = request.data_centre, request.tried
+    best = None
+    best_end_s = float("inf")
+    # This loop runs for each pair of request and slot, so it calls nothing.
+    for index, slot in enumerate(slots):
+        end_s = starts_s[index] + seconds * slot.choice_factor
+        if end_s >= best_end_s:
+            continue
+        if slot.data_centre != data_centre:
+            end_s += REMOTE_S
+            if end_s >= best_end_s:
+                continue
+        if tried and slot.key in tried:
+            continue
+        best, best_end_s = index, end_s
+    return best, best_end_s
+
+
+def _start_s(free_s, now_s):
+    """Return when a slot can be counted on to be free."""
+    return now_s if free_s <= now_s else now_s + (free_s - now_s) * WAIT_DOUBT
--- a/sesamespring/routing/queueing.py
+++ b/sesamespring/routing/queueing.py
@@ -6,8 +6,6 @@
 its caller is refused at once.
 """
 
-import math
-
 import attrs
 
 from sesamespring.routing.placement import Assignment, assign
@@ -16,7 +14,10 @@
 
 # Requests that come later go before those that are late already.
 LATE_DOUBT = 2.0
-PLANNED_MAX = 256
+# Pairs of request and slot that are compared in one plan; what is behind the first
+# requests is estimated from the rate at which all slots work.
+COMPARISONS_MAX = 1000
+COMPARED_LEAST = 6
 
 
 @attrs.frozen
@@ -32,7 +33,7 @@
     unreachable: tuple
 
 
-def make_plan(requests, slots, usual_s, now_s):
+def make_plan(requests, slots, usual_s, now_s, judge_all=True):
     """Return the Plan for all waiting requests.
 
     Args:
@@ -40,34 +41,52 @@
         slots: The Slots, see ``placement.open_slots``.
         usual_s: Function from a ScheduledRequest to its usual seconds.
         now_s: The time now.
+        judge_all: Whether to estimate also those that cannot be sent now.
     """
     ordered = sorted(requests, key=_urgency)
-    hopeful = [r for r in ordered if now_s + usual_s(r) <= r.due_s][:PLANNED_MAX]
+    compared = max(COMPARED_LEAST, COMPARISONS_MAX // max(1, len(slots)))
+    hopeful = [r for r in ordered if now_s + usual_s(r) <= r.due_s]
+    if not judge_all:
+        hopeful = hopeful[:compared]
     # Without those that miss their goal even so, the others need not wait for them.
-    first = assign(hopeful, _copies(slots), usual_s, now_s)
+    first = _expect(hopeful, slots, usual_s, now_s, compared)
     in_time = [a.request for a in first if a.end_s <= a.request.due_s]
     if len(in_time) == len(ordered):
         return Plan(tuple(first), ())
     chosen = {request.number for request in in_time}
     late = [r for r in ordered if r.number not in chosen]
     late.sort(key=lambda r: (r.priority, r.deadline_s))
-    assignments = assign([*in_time, *late[:PLANNED_MAX]], slots, usual_s, now_s)
+    if not judge_all:
+        late = late[:compared]
+    assignments = _expect([*in_time, *late], slots, usual_s, now_s, compared)
     unreachable = [a for a in assignments if _is_unreachable(a, chosen, now_s)]
-    beyond = [Assignment(request, None, math.inf) for request in late[PLANNED_MAX:]]
-    return Plan(tuple(assignments), (*unreachable, *beyond))
+    return Plan(tuple(assignments), tuple(unreachable))
 
 
 def _urgency(request):
     return (request.priority, request.due_s)
 
 
-def _copies(slots):
-    return [attrs.evolve(slot) for slot in slots]
+def _expect(requests, slots, usual_s, now_s, compared):
+    """Assign the first requests to slots, and estimate when the others end."""
+    assignments = assign(requests[:compared], slots, usual_s, now_s)
+    if len(requests) <= compared:
+        return assignments
+    # How many requests of usual length all slots end in the time of one.
+    rate = sum(1 / slot.factor for slot in slots)
+    ahead = float(compared)
+    for request in requests[compared:]:
+        ahead += 1
+        seconds = usual_s(request)
+        end_s = now_s + seconds * (1 + ahead / rate) if rate else float("inf")
+        assignments.append(Assignment(request, None, end_s))
+    return assignments
 
 
 def _is_unreachable(assignment, chosen, now_s):
     request = assignment.request
-    if assignment.slot is None:
+    if assignment.end_s == float("inf"):
+        # No target may have it now; it waits for one that it has not tried.
         return False
     left_s = request.deadline_s - now_s
     needed_s = assignment.end_s - now_s
--- a/sesamespring/routing/scheduler.py
+++ b/sesamespring/routing/scheduler.py
@@ -103,6 +103,7 @@
             state.entry = entry
             closed = entry.data_centre in closed_data_centres
             state.in_service = not entry.leaving and not closed
+            state.forget_costs()
             kept[entry.key] = state
         for key, state in self._states.items():
             if key not in kept:
@@ -127,6 +128,7 @@
             self._usual_slowdown += SLOWDOWN_WEIGHT * difference
         if cold_left_s is not None:
             state.cold_until_s = now_s + cold_left_s
+            state.forget_costs()
 
     def rest(self, key, seconds, now_s):
         """Give a target nothing for a while."""
@@ -158,13 +160,18 @@
         work = state.work.pop(end.attempt)
         self._learn(request, state, work, end, now_s)
         self.report(state.entry.key, end.load, end.cold_left_s, now_s)
-        return self.advance(now_s)
+        return self.advance(now_s, judge_all=False)
+
+    def advance(self, now_s, judge_all=True):
+        """Serve what can be served now and return the commands.
 
-    def advance(self, now_s):
-        """Serve what can be served now and return the commands."""
+        Args:
+            now_s: The time now.
+            judge_all: Whether to look also for requests that cannot be served in time.
+        """
         commands = []
         if self._waiting:
-            self._serve(now_s, commands)
+            self._serve(now_s, commands, judge_all)
         if not self._waiting:
             self._hedge(now_s, commands)
         return commands
@@ -175,12 +182,13 @@
             return False
         return self._budget.allows(now_s, self._vms)
 
-    def _serve(self, now_s, commands):
+    def _serve(self, now_s, commands, judge_all):
         slots = self._slots(now_s)
         if not slots and not any(s.in_service for s in self._states.values()):
             self._refuse_all(now_s, commands)
             return
-        plan = make_plan(self._waiting.values(), slots, self._usual_s, now_s)
+        waiting = self._waiting.values()
+        plan = make_plan(waiting, slots, self._usual_s, now_s, judge_all)
         for assignment in plan.unreachable:
             self._refuse(assignment, now_s, commands)
         for assignment in plan.assignments:
--- a/sesamespring/routing/target_state.py
+++ b/sesamespring/routing/target_state.py
@@ -22,6 +22,7 @@
 REST_FIRST_S = 0.25
 REST_LONGEST_S = 2.0
 OVERDUE_GROWTH = 0.3
+COSTS_LIFETIME_S = 0.02
 
 
 @attrs.define(eq=False, slots=True)
@@ -71,6 +72,8 @@
         rest_until_s: Time until which it gets nothing after failures.
         cold_limit: Its ColdLimit.
         served: Whether it ever got a request of this VM.
+        costs_s: Time at which the costs below were worked out.
+        cached_costs: The pair that ``costs`` returns.
     """
 
     entry: TargetEntry
@@ -88,11 +91,33 @@
     rest_until_s: float = -math.inf
     cold_limit: ColdLimit = attrs.field(factory=ColdLimit)
     served: bool = False
+    costs_s: float = -math.inf
+    cached_costs: tuple = (1.0, 1.0)
 
     def is_cold(self, now_s):
         """Whether it is in cold start."""
         return now_s < self.cold_until_s
 
+    def costs(self, now_s, usual_slowdown):
+        """Return the pair of ``factor`` and the same with what failures cost.
+
+        They change slowly without an event at the target, so they are kept for a
+        moment: a plan asks for those of all targets.
+
+        Args:
+            now_s: The time now.
+            usual_slowdown: Average slowdown over the service's targets.
+        """
+        if not 0 <= now_s - self.costs_s < COSTS_LIFETIME_S:
+            factor = self.factor(now_s, usual_slowdown)
+            self.cached_costs = (factor, factor * self.reliability_cost(now_s))
+            self.costs_s = now_s
+        return self.cached_costs
+
+    def forget_costs(self):
+        """Let the costs be worked out anew after an event at the target."""
+        self.costs_s = -math.inf
+
     def factor(self, now_s, usual_slowdown):
         """Return how many times longer than usual a request takes there now.
 
@@ -130,6 +155,7 @@
 
     def report(self, load, now_s):
         """Take in a LoadReport."""
+        self.forget_costs()
         self.slowdown = load.slowdown
         self.reported_s = now_s
         self.elsewhere = max(0, load.running + load.waiting - len(self.work))
@@ -143,6 +169,7 @@
             calm_s: How long the same takes at a calm target.
             now_s: The time now.
         """
+        self.forget_costs()
         expected_s = calm_s * work.reported
         ratio = min(PACE_MAX, max(0.1, taken_s / max(expected_s, 0.0001)))
         pace = self._pace_now(now_s)
@@ -154,6 +181,7 @@
 
     def failed(self, now_s):
         """Take in a failure."""
+        self.forget_costs()
         self.failures += 1
         self.failing += FAILURE_WEIGHT * (1 - self.failing)
         self.failed_s = now_s
