--- a/sesamespring/gateway/datagrams.thrift
+++ b/sesamespring/gateway/datagrams.thrift
@@ -56,6 +56,8 @@
   2: required i32 round
   3: required string reason
   4: required double retry_after_s
+  5: required i32 waiting
+  6: required double needed_s
 }
 
 /* Says how an attempt under a granted slot ended. */
--- a/sesamespring/gateway/forwarding.py
+++ b/sesamespring/gateway/forwarding.py
@@ -236,13 +236,19 @@
             request=self._request_id.decode("latin-1"),
             target=dispatch.entry.id,
             service=self._service,
-            holder=self._ticket.holder.name if self._ticket.holder else "self",
+            decider=self._decider,
             hedge=dispatch.hedge,
             waited_s=dispatch.waited_s,
             expected_s=dispatch.expected_s,
             report_age_s=dispatch.report_age_s,
         )
 
+    @property
+    def _decider(self):
+        """Name of the VM that decided about the request last, for the log."""
+        holder = self._ticket.holder if self._ticket else None
+        return holder.name if holder else "here"
+
     def _take_end(self, dispatch, task):
         if task.cancelled():
             end = AttemptEnd(dispatch.attempt, Outcome.CANCELLED, 0.0)
@@ -254,6 +260,17 @@
         """Give the final answer, unless an attempt is still in progress."""
         if self._tasks:
             return False
+        self._context.log.event(
+            "slot-refused",
+            request=self._request_id.decode("latin-1"),
+            service=self._service,
+            decider=self._decider,
+            reason=refusal.reason.value,
+            waiting=refusal.waiting,
+            needed_s=refusal.needed_s,
+            left_s=refusal.request.deadline_s - self._loop.time(),
+            retry_after_s=refusal.retry_after_s,
+        )
         if self._failure is not None:
             self._pass_failure()
         elif self._may_have_run:
--- a/sesamespring/gateway/slots.py
+++ b/sesamespring/gateway/slots.py
@@ -248,7 +248,15 @@
         self._cancel_timer(ticket)
         ticket.waiting = False
         reason = RefusalReason(message.reason)
-        ticket.receive(Refusal(ticket.request, reason, message.retry_after_s))
+        ticket.receive(
+            Refusal(
+                ticket.request,
+                reason,
+                message.retry_after_s,
+                message.waiting,
+                message.needed_s,
+            )
+        )
 
     def _current(self, message, ip):
         """Return the Ticket that a message answers, or None where it is outdated."""
@@ -374,6 +382,8 @@
                 round=borrowed.round,
                 reason=command.reason.value,
                 retry_after_s=command.retry_after_s,
+                waiting=command.waiting,
+                needed_s=command.needed_s,
             )
         else:
             borrowed.answer = SlotGranted(
--- a/sesamespring/http/channel.py
+++ b/sesamespring/http/channel.py
@@ -107,7 +107,9 @@
 
     def eof_received(self):
         """Take in the end of the server's direction."""
-        if self._h11 is not None and not self._ended and self._error is None:
+        if self._response is None:
+            self._fail(ChannelClosed("closed before the answer"))
+        elif not self._ended and self._error is None:
             try:
                 self._h11.receive_data(b"")
             except RuntimeError as error:
--- a/sesamespring/routing/messages.py
+++ b/sesamespring/routing/messages.py
@@ -138,8 +138,12 @@
         request: The ScheduledRequest.
         reason: The RefusalReason.
         retry_after_s: Seconds after which a slot is expected to be free.
+        waiting: How many requests waited with it.
+        needed_s: How long it was expected to take in all, in seconds.
     """
 
     request: ScheduledRequest
     reason: RefusalReason
     retry_after_s: float
+    waiting: int = 0
+    needed_s: float = 0.0
--- a/sesamespring/routing/scheduler.py
+++ b/sesamespring/routing/scheduler.py
@@ -238,7 +238,11 @@
         usual_s = self._usual_s(request)
         wait_s = assignment.end_s - now_s - usual_s
         retry_after_s = min(RETRY_AFTER_MOST_S, max(RETRY_AFTER_LEAST_S, wait_s))
-        commands.append(Refusal(request, RefusalReason.TOO_LATE, retry_after_s))
+        reason = RefusalReason.TOO_LATE
+        needed_s = assignment.end_s - now_s
+        commands.append(
+            Refusal(request, reason, retry_after_s, len(self._waiting), needed_s)
+        )
 
     def _refuse_all(self, now_s, commands):
         for request in self._waiting.values():
