Refuse nothing while a route's usual time is not known

The guess of 0.1 of the goal was doubled for late requests, so the end of the queue seemed past the deadline.

--- a/sesamespring/routing/queueing.py
+++ b/sesamespring/routing/queueing.py
@@ -33,7 +33,7 @@
     unreachable: tuple
 
 
-def make_plan(requests, slots, usual_s, now_s, judge_all=True):
+def make_plan(requests, slots, usual_s, now_s, is_known, judge_all=True):
     """Return the Plan for all waiting requests.
 
     Args:
@@ -41,6 +41,8 @@
         slots: The Slots, see ``placement.open_slots``.
         usual_s: Function from a ScheduledRequest to its usual seconds.
         now_s: The time now.
+        is_known: Function from a ScheduledRequest to whether its usual time is known;
+            nothing is refused on a guess.
         judge_all: Whether to estimate also those that cannot be sent now.
     """
     ordered = sorted(requests, key=_urgency)
@@ -59,7 +61,11 @@
     if not judge_all:
         late = late[:compared]
     assignments = _expect([*in_time, *late], slots, usual_s, now_s, compared)
-    unreachable = [a for a in assignments if _is_unreachable(a, chosen, now_s)]
+    unreachable = [
+        a
+        for a in assignments
+        if is_known(a.request) and _is_unreachable(a, chosen, now_s)
+    ]
     return Plan(tuple(assignments), tuple(unreachable))
 
 
--- a/sesamespring/routing/scheduler.py
+++ b/sesamespring/routing/scheduler.py
@@ -188,7 +188,9 @@
             self._refuse_all(now_s, commands)
             return
         waiting = self._waiting.values()
-        plan = make_plan(waiting, slots, self._usual_s, now_s, judge_all)
+        plan = make_plan(
+            waiting, slots, self._usual_s, now_s, self._is_known, judge_all
+        )
         for assignment in plan.unreachable:
             self._refuse(assignment, now_s, commands)
         for assignment in plan.assignments:
@@ -277,7 +279,7 @@
             return False
         if len(request.attempts) != 1 or request.number not in self._requests:
             return False
-        return self._times.is_known(request.route)
+        return self._is_known(request)
 
     def _rescues(self, request, slot, now_s):
         """Whether a second attempt makes the goal, and a later one would not."""
@@ -314,6 +316,9 @@
             cold_most,
         )
 
+    def _is_known(self, request):
+        return self._times.is_known(request.route)
+
     def _usual_s(self, request):
         return self._times.usual_s(request.route, request.goal_s)
 
--- /dev/null
+++ b/tests/gateway/test_event_log.py
@@ -0,0 +1,68 @@
+"""Test that logging is bounded, counts what it drops and never waits."""
+
+import os
+
+from sesamespring.gateway.event_log import LINES_BURST, EventLog
+
+
+class Clock:
+    """A clock that is set by hand."""
+
+    def __init__(self):
+        self.now_s = 0.0
+
+    def __call__(self):
+        return self.now_s
+
+
+def make_log():
+    reading, writing = os.pipe()
+    clock = Clock()
+    return EventLog("vm-1", writing, clock), clock, reading, writing
+
+
+def test_line_has_its_fields():
+    log, _, reading, writing = make_log()
+    log.event("store-lost", table="op", age_s=0.12345)
+    line = os.read(reading, 1000).decode()
+    assert "event=store-lost" in line
+    assert "vm=vm-1" in line
+    assert "age_s=0.1235" in line or "age_s=0.1234" in line
+    os.close(reading)
+    os.close(writing)
+
+
+def test_burst_is_bounded_and_the_rest_is_counted():
+    log, clock, reading, writing = make_log()
+    for number in range(int(LINES_BURST) + 50):
+        log.event("request", number=number)
+        os.read(reading, 65536) if number < LINES_BURST else None
+    assert log.dropped == 50
+    clock.now_s = 2.0
+    log.event("request", number=-1)
+    assert "log-lines-dropped" in os.read(reading, 65536).decode()
+    assert log.dropped == 0
+    os.close(reading)
+    os.close(writing)
+
+
+def test_routine_lines_give_way():
+    log, _, reading, writing = make_log()
+    for _ in range(int(LINES_BURST)):
+        log.routine("request")
+    assert log.dropped > 0
+    before = log.dropped
+    log.event("request", status=503)
+    assert log.dropped == before
+    os.close(reading)
+    os.close(writing)
+
+
+def test_reader_that_does_not_read_is_not_waited_for():
+    log, clock, reading, writing = make_log()
+    for number in range(4000):
+        clock.now_s = number * 0.1
+        log.event("request", padding="x" * 300)
+    assert log.dropped > 0
+    os.close(reading)
+    os.close(writing)
--- a/tests/routing/test_scheduler.py
+++ b/tests/routing/test_scheduler.py
@@ -86,7 +86,7 @@
 def test_nothing_is_refused_on_a_guess():
     made = scheduler(target("a", slots=1))
     commands = []
-    for _ in range(4):
+    for _ in range(40):
         commands += made.submit(request(goal_s=0.5, timeout_s=1.0), 0.0)
     assert not [c for c in commands if isinstance(c, Refusal)]
 
