Count a VM's link where callers are sent and services are decided

Ruled out: the queue (22 refused) and the deciders' cores (0.33 at the most). Change: a VM counts for no more cores than its link feeds.

--- a/sesamespring/gateway/peers.py
+++ b/sesamespring/gateway/peers.py
@@ -10,6 +10,7 @@
 from sesamespring.errors import OutsideError
 from sesamespring.gateway.generated.ttypes import Heartbeat, KnownVms
 from sesamespring.platform.store import ABSENT_VERSION
+from sesamespring.routing.deciders import usable_cores
 from sesamespring.routing.membership import Member, Membership
 
 __all__ = ["HEARTBEAT_S", "Peers"]
@@ -59,7 +60,7 @@
             data_centre=self._settings.data_centre,
             incarnation=self._incarnation,
             sequence=self._sequence,
-            cores=self._settings.cores,
+            cores=usable_cores(self._settings.cores, self._settings.link_mbps),
             **self._state(),
         )
 
--- a/sesamespring/platform/settings.py
+++ b/sesamespring/platform/settings.py
@@ -55,6 +55,7 @@
         seed_ips: Tuple of IP addresses of VMs that may be alive.
         store_address: Pair of IP and port of the platform's store.
         cores: Share of a core that the VM has.
+        link_mbps: Bandwidth of its link, in megabits a second.
         descriptors_max: How many descriptors the process may open.
         heartbeat_s: Interval of the targets' registrations, in seconds.
         bounds: The Bounds.
@@ -70,6 +71,7 @@
     seed_ips: tuple
     store_address: tuple
     cores: float
+    link_mbps: float
     descriptors_max: int
     heartbeat_s: float
     bounds: Bounds
@@ -116,6 +118,7 @@
         seed_ips=tuple(ip for ip in seeds if ip != own["ip"]),
         store_address=_address(content["platform"]["platform"]["address"]),
         cores=float(limits["cpuShare"]) * float(limits["cpuCores"]),
+        link_mbps=float(limits["linkMbps"]),
         descriptors_max=int(limits["maxFds"]),
         heartbeat_s=content["platform"]["heartbeatMs"] / 1000,
         bounds=_decode_bounds(content["terms"]["bounds"]),
--- a/sesamespring/routing/deciders.py
+++ b/sesamespring/routing/deciders.py
@@ -7,7 +7,7 @@
 
 from sesamespring.routing.holders import rank
 
-__all__ = ["decision_order", "named_vms", "reader_names"]
+__all__ = ["decision_order", "named_vms", "reader_names", "usable_cores"]
 
 # A VM does work for all others if it has at least this part of the largest one's cores.
 LARGE_PART = 0.5
@@ -16,6 +16,21 @@
 # How many slots of a service one core keeps busy with ease.
 SLOTS_PER_CORE = 8.0
 READERS = 2
+# A core passes on about as many bytes of requests as fit through such a link.
+LINK_MBPS_PER_CORE = 40.0
+
+
+def usable_cores(cores, link_mbps):
+    """Return how many cores' worth of requests a VM can serve over its link.
+
+    Args:
+        cores: Its cores.
+        link_mbps: Bandwidth of its link, in megabits a second.
+
+    >>> usable_cores(0.8, 1000.0), usable_cores(2.0, 5.0)
+    (0.8, 0.125)
+    """
+    return min(cores, link_mbps / LINK_MBPS_PER_CORE)
 
 
 def decision_order(subject, members):
--- a/sesamespring/routing/membership.py
+++ b/sesamespring/routing/membership.py
@@ -19,7 +19,7 @@
         data_centre: Its data centre.
         incarnation: Grows with each start of its process.
         sequence: Number of the heartbeat in this incarnation.
-        cores: Its share of a core.
+        cores: How many cores' worth of requests it can serve.
         ready: Whether it serves requests.
         leaving: Whether it is about to stop.
         store_reached: Whether its last call of the store was answered.
--- a/tests/gateway/estate.py
+++ b/tests/gateway/estate.py
@@ -147,6 +147,7 @@
             seed_ips=tuple(other for other in self.ips[:3] if other != ip),
             store_address=self.store_address,
             cores=1.0,
+            link_mbps=1000.0,
             descriptors_max=1000,
             heartbeat_s=1.5,
             bounds=BOUNDS,
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -14,6 +14,7 @@
 cpuShare = 0.86
 cpuCores = 2
 maxFds = 4100
+linkMbps = 1000.0
 [network]
 internalPortRange = [7620, 7635]
 seeds = ["10.1.0.15:8649", "10.2.0.42:8649"]
