Name a VM of another data centre besides those near the caller

Its callers knew only VMs of their own data centre, and those ask the nearest directories first, which were dark too, so they had no address at all for 6 s. Change: one VM of another data centre is always named.

--- a/sesamespring/routing/deciders.py
+++ b/sesamespring/routing/deciders.py
@@ -12,6 +12,7 @@
 # A VM does work for all others if it has at least this part of the largest one's cores.
 LARGE_PART = 0.5
 NAMED_LEAST = 2
+NAMED_FAR = 1
 NAMED_MOST = 16
 # How many slots of a service one core keeps busy with ease.
 SLOTS_PER_CORE = 8.0
@@ -49,8 +50,9 @@
 def named_vms(service, members, data_centre, slots):
     """Return the Members that callers of a service are sent to.
 
-    Those in the callers' data centre are enough, as they get their slots from the VM
-    that decides; others are named where there are too few.
+    Those in the callers' data centre are enough for the load, as they get their slots
+    from the VM that decides. One of another data centre is named besides: should their
+    own lose power, callers who ask the nearest VMs first get no new answer for long.
 
     Args:
         service: Name of the service.
@@ -69,7 +71,7 @@
         if len(named) >= NAMED_LEAST and sum(m.cores for m in named) >= needed_cores:
             break
         named.append(member)
-    return named + far[: max(0, NAMED_LEAST - len(named))]
+    return named + far[: max(NAMED_FAR, NAMED_LEAST - len(named))]
 
 
 def reader_names(members):
