--- a/sesamespring/routing/deciders.py
+++ b/sesamespring/routing/deciders.py
@@ -12,7 +12,8 @@
 # A VM does work for all others if it has at least this part of the largest one's cores.
 LARGE_PART = 0.5
 NAMED_LEAST = 2
-NEAR_MOST = 16
+NAMED_FAR = 1
+NAMED_MOST = 16
 # How many slots of a service one core keeps busy with ease.
 SLOTS_PER_CORE = 8.0
 READERS = 2
@@ -50,9 +51,8 @@
     """Return the Members that callers of a service are sent to.
 
     Those in the callers' data centre are enough for the load, as they get their slots
-    from the VM that decides. As many of other data centres are named: should the
-    callers' own lose power, those who ask the nearest VMs first get no new answer for
-    long, and a caller who tries twice should reach a VM that lives.
+    from the VM that decides. One of another data centre is named besides: should their
+    own lose power, callers who ask the nearest VMs first get no new answer for long.
 
     Args:
         service: Name of the service.
@@ -65,13 +65,13 @@
     near = [member for member in order if member.data_centre == data_centre]
     far = [member for member in order if member.data_centre != data_centre]
     data_centres = len({member.data_centre for member in members}) or 1
-    needed_cores = slots / data_centres / SLOTS_PER_CORE / 2
+    needed_cores = slots / data_centres / SLOTS_PER_CORE
     named = []
-    for member in near[:NEAR_MOST]:
-        named.append(member)
-        if sum(m.cores for m in named) >= needed_cores:
+    for member in near[:NAMED_MOST]:
+        if len(named) >= NAMED_LEAST and sum(m.cores for m in named) >= needed_cores:
             break
-    return named + far[: max(len(named), NAMED_LEAST - len(named))]
+        named.append(member)
+    return named + far[: max(NAMED_FAR, NAMED_LEAST - len(named))]
 
 
 def reader_names(members):
