Serve the directory from one process in each data centre

Change: a second role with the same program, on one VM of each data centre; it follows the tables and hears heartbeats, takes no requests, and counts for no cores. VMs know each other by address and port, as a VM may run both.

--- a/sesamespring/gateway/daemon.py
+++ b/sesamespring/gateway/daemon.py
@@ -84,7 +84,7 @@
         self._metrics_port = metrics_port
         self._leaving = False
         self._counters = Counters()
-        self._log = EventLog(settings.name)
+        self._log = EventLog(settings.process_name)
         self._estate = Estate(self._log, self._estate_changed)
         self._store = StoreClient(settings.store_address, STORE_TIMEOUT_S)
         self._peers = Peers(
@@ -154,14 +154,13 @@
 
     async def _listen(self, stack):
         settings = self._settings
-        internal = (settings.ip, settings.internal_ports[0])
+        internal = settings.internal_address
         datagrams = await open_datagrams(internal, self._peers.receive, self._counters)
         stack.callback(datagrams.close)
         self._peers.use(datagrams)
         directory = DirectoryQuestions(
             lambda: self._context.routes,
             self._services,
-            settings.callers_address[1],
             settings.bounds.answer_ttl_max_s,
         )
         ready = ReadyQuestions(lambda: self._ready)
@@ -176,18 +175,22 @@
             listeners.append((questions.answer, (settings.ip, self._metrics_port)))
         most = self._connections_max()
         for handle, address in listeners:
+            if address is None:
+                continue
             connections = CallerConnections(handle, most)
             stack.callback(connections.close)
             await connections.listen(address)
         stack.callback(self._callers.close)
-        await self._callers.listen(settings.callers_address)
+        if settings.callers_address is not None:
+            await self._callers.listen(settings.callers_address)
 
     async def _serve(self, incoming):
         await Forwarding(incoming, self._context).run()
 
     @property
     def _ready(self):
-        return self._estate.ready and not self._leaving
+        serves = self._settings.callers_address is not None
+        return serves and self._estate.ready and not self._leaving
 
     def _state(self):
         return {
--- a/sesamespring/gateway/datagrams.py
+++ b/sesamespring/gateway/datagrams.py
@@ -16,7 +16,7 @@
     """A UDP socket that carries one message a datagram.
 
     Args:
-        on_message: Function called with the message and the sender's IP address.
+        on_message: Function called with the message and the sender's address.
         counters: The Counters.
     """
 
@@ -36,7 +36,7 @@
         except FrameError:
             self._counters.add("bad_datagrams")
             return
-        self._on_message(message, address[0])
+        self._on_message(message, address)
 
     def error_received(self, exc):
         """Take in that a datagram could not be delivered."""
--- a/sesamespring/gateway/datagrams.thrift
+++ b/sesamespring/gateway/datagrams.thrift
@@ -12,11 +12,13 @@
   8: required bool store_reached
   9: required i64 operator_version
   10: required i64 targets_version
+  /* 0 where the process takes no requests of callers. */
+  11: required i32 callers_port
 }
 
 /* Names VMs to one that has just started. */
 struct KnownVms {
-  1: required list<string> ips
+  1: required list<string> addresses
 }
 
 /* Asks the VM that decides for a service for a slot; repeated until it is answered. */
--- a/sesamespring/gateway/following.py
+++ b/sesamespring/gateway/following.py
@@ -116,7 +116,7 @@
 
     def _choose(self, replica):
         readers = reader_names([*self._peers.alive.values(), self._peers.own])
-        own = self._settings.name
+        own = self._settings.process_name
         alone = self._failures.get(replica.name, 0) >= ALONE_AFTER_FAILURES
         now_s = time.monotonic()
         trial = not self._store_reached and now_s - self._tried_s > STORE_TRIAL_S
@@ -135,8 +135,7 @@
         return _Source(client, "store", pace.wait_s, pace.interval_s, True)
 
     def _peer_source(self, replica, member):
-        address = (member.ip, self._settings.internal_ports[0])
-        client = self._client(member.name, replica, address)
+        client = self._client(member.name, replica, member.address)
         return _Source(client, member.name, PEER_WAIT_S, 0.0, False)
 
     def _client(self, name, replica, address):
--- a/sesamespring/gateway/peers.py
+++ b/sesamespring/gateway/peers.py
@@ -42,10 +42,10 @@
         self._on_change = on_change
         self._incarnation = time.time_ns() // 1_000_000
         self._sequence = 0
-        self._membership = Membership(settings.name)
+        self._membership = Membership(settings.process_name)
         self._loop = asyncio.get_running_loop()
-        self._ips = set(settings.seed_ips)
-        self._heard_ips = {}
+        self._addresses = set(settings.seed_addresses)
+        self._heard_s = {}
         self._greeted_s = {}
         self._alive = {}
         self._socket = None
@@ -55,12 +55,13 @@
     def own(self):
         """This VM's Member."""
         return Member(
-            name=self._settings.name,
-            ip=self._settings.ip,
+            name=self._settings.process_name,
+            address=self._settings.internal_address,
+            callers_port=self._settings.callers_port,
             data_centre=self._settings.data_centre,
             incarnation=self._incarnation,
             sequence=self._sequence,
-            cores=usable_cores(self._settings.cores, self._settings.link_mbps),
+            cores=self._cores(),
             **self._state(),
         )
 
@@ -83,27 +84,26 @@
         self._socket = datagrams
 
     def on_message(self, message_type, handler):
-        """Let ``handler(message, ip)`` take messages of a type."""
+        """Let ``handler(message, address)`` take messages of a type."""
         self._handlers[message_type] = handler
 
-    def receive(self, message, ip):
+    def receive(self, message, address):
         """Take in a message from another VM."""
         handler = self._handlers.get(type(message))
         if handler is not None:
-            handler(message, ip)
+            handler(message, address)
 
-    def send(self, message, ip):
-        """Send a message to the VM at an IP address."""
-        self._socket.send(message, (ip, self._settings.internal_ports[0]))
+    def send(self, message, address):
+        """Send a message to the VM at an address, a pair of IP and port."""
+        self._socket.send(message, address)
 
     def announce(self):
         """Send a heartbeat to all VMs now."""
         self._sequence += 1
         now_s = self._loop.time()
-        port = self._settings.internal_ports[0]
-        ips = [ip for ip in self._ips if self._wants_greeting(ip, now_s)]
-        if ips:
-            self._socket.send(self._heartbeat(), *[(ip, port) for ip in ips])
+        wanted = [a for a in self._addresses if self._wants_greeting(a, now_s)]
+        if wanted:
+            self._socket.send(self._heartbeat(), *wanted)
 
     async def run(self):
         """Send heartbeats and notice silence until cancelled."""
@@ -114,20 +114,28 @@
             await asyncio.sleep(HEARTBEAT_S)
 
     async def register(self):
-        """Write this VM's address where VMs that start later find it."""
-        own = json.dumps({"ip": self._settings.ip}).encode()
+        """Learn the addresses of other VMs, and leave this one's for later ones."""
+        ip, port = self._settings.internal_address
+        own = json.dumps({"ip": ip, "port": port}).encode()
+        name = self._settings.process_name
         while True:
             with contextlib.suppress(OutsideError):
                 table = await self._store.read_table(VMS_TABLE)
                 rows = {row.key: row for row in table.rows}
-                self._learn(_ip_of(row.content) for row in table.rows)
-                row = rows.get(self._settings.name)
+                self._learn(_address_of(row.content) for row in table.rows)
+                row = rows.get(name)
                 if row is not None and row.content == own:
                     return
                 version = row.version if row else ABSENT_VERSION
-                await self._store.write(VMS_TABLE, self._settings.name, own, version)
+                await self._store.write(VMS_TABLE, name, own, version)
             await asyncio.sleep(REGISTER_RETRY_S)
 
+    def _cores(self):
+        """Return the cores that count for work for others; a directory has none."""
+        if not self._settings.callers_port:
+            return 0.0
+        return usable_cores(self._settings.cores, self._settings.link_mbps)
+
     def _heartbeat(self):
         own = self.own
         return Heartbeat(
@@ -141,44 +149,48 @@
             store_reached=own.store_reached,
             operator_version=own.operator_version,
             targets_version=own.targets_version,
+            callers_port=own.callers_port,
         )
 
-    def _wants_greeting(self, ip, now_s):
-        heard_s = self._heard_ips.get(ip)
+    def _wants_greeting(self, address, now_s):
+        heard_s = self._heard_s.get(address)
         if heard_s is not None and now_s - heard_s < GREETING_S:
             return True
-        if now_s - self._greeted_s.get(ip, float("-inf")) < GREETING_S:
+        if now_s - self._greeted_s.get(address, float("-inf")) < GREETING_S:
             return False
-        self._greeted_s[ip] = now_s
+        self._greeted_s[address] = now_s
         return True
 
-    def _heard(self, message, ip):
+    def _heard(self, message, address):
         now_s = self._loop.time()
         fields = {key: value for key, value in vars(message).items() if key != "vm"}
-        member = Member(name=message.vm, ip=ip, **fields)
-        is_new = ip not in self._heard_ips
-        self._heard_ips[ip] = now_s
-        self._ips.add(ip)
+        member = Member(name=message.vm, address=address, **fields)
+        is_new = address not in self._heard_s
+        self._heard_s[address] = now_s
+        self._addresses.add(address)
         if self._membership.heard(member, now_s):
             self._refresh()
         else:
             self._alive_update(member)
-        if is_new and ip != self._settings.ip:
-            self.send(self._heartbeat(), ip)
-            self.send(KnownVms(ips=sorted(self._ips)[:KNOWN_VMS_MAX]), ip)
+        if is_new and address != self._settings.internal_address:
+            self.send(self._heartbeat(), address)
+            known = sorted(self._addresses)[:KNOWN_VMS_MAX]
+            texts = [f"{ip}:{port}" for ip, port in known]
+            self.send(KnownVms(addresses=texts), address)
 
     def _alive_update(self, member):
         if member.name in self._alive:
             self._alive[member.name] = member
 
-    def _told(self, message, ip):
-        self._learn(message.ips)
+    def _told(self, message, address):
+        self._learn(map(_split_address, message.addresses))
 
-    def _learn(self, ips):
-        new = {ip for ip in ips if ip} - self._ips - {self._settings.ip}
-        self._ips |= new
-        for ip in new:
-            self.send(self._heartbeat(), ip)
+    def _learn(self, addresses):
+        known = self._addresses | {self._settings.internal_address, None}
+        new = set(addresses) - known
+        self._addresses |= new
+        for address in new:
+            self.send(self._heartbeat(), address)
 
     def _refresh(self):
         """Compare who is alive with what was known, and tell of changes."""
@@ -199,8 +211,16 @@
     }
 
 
-def _ip_of(content):
+def _address_of(content):
+    """Return the address in another VM's row, or None."""
     try:
-        return str(json.loads(content)["ip"])
+        row = json.loads(content)
+        return str(row["ip"]), int(row["port"])
     except (ValueError, KeyError, TypeError):
-        return ""
+        return None
+
+
+def _split_address(text):
+    """Return the pair of IP and port in ``IP:PORT``, or None."""
+    ip, _, port = text.rpartition(":")
+    return (ip, int(port)) if port.isdigit() else None
--- a/sesamespring/gateway/questions.py
+++ b/sesamespring/gateway/questions.py
@@ -21,14 +21,12 @@
     Args:
         routes: Function that returns the RouteTable, or None.
         services: The Services.
-        port: The port on which all VMs take callers' requests.
         ttl_max_s: Longest time for which an answer counts.
     """
 
-    def __init__(self, routes, services, port, ttl_max_s):
+    def __init__(self, routes, services, ttl_max_s):
         self._routes = routes
         self._services = services
-        self._port = port
         self._ttl_s = min(ANSWER_TTL_S, ttl_max_s)
 
     async def answer(self, incoming):
@@ -44,7 +42,10 @@
         # Hosts without routes still get VMs, which then answer for themselves.
         service = routes.main_service(question.host) or question.host
         named = self._services.named(service, question.data_centre)
-        addresses = [(member.ip, self._port) for member in named]
+        if not named:
+            incoming.send_whole(503, [], b"")
+            return
+        addresses = [(member.address[0], member.callers_port) for member in named]
         incoming.send_whole(200, JSON, directory_answer(addresses, self._ttl_s))
 
 
--- a/sesamespring/gateway/services.py
+++ b/sesamespring/gateway/services.py
@@ -38,8 +38,8 @@
         """Return the name of the VM that decides for a service."""
         holder = self._holders.get(service)
         if holder is None:
-            holder = decision_order(service, self._serving())[0]
-            self._holders[service] = holder
+            order = decision_order(service, self._serving())
+            holder = self._holders[service] = order[0] if order else ""
         return holder
 
     def named(self, service, data_centre):
@@ -54,7 +54,7 @@
 
     def is_holder(self, service):
         """Whether this VM decides for a service."""
-        return self.holder(service) == self._settings.name
+        return self.holder(service) == self._settings.process_name
 
     def probed(self):
         """Return pairs of ServiceRunner and health path to send health checks for.
@@ -99,7 +99,7 @@
             self._runners[name] = runner
         scheduler = runner.scheduler
         scheduler.set_declaration(declaration)
-        scheduler.set_vms(len(self._peers.alive) + 1, not self.is_holder(name))
+        scheduler.set_vms(len(self._serving()), not self.is_holder(name))
         closed = self._estate.closed_data_centres
         scheduler.set_targets(self._estate.targets(name), closed, self._loop.time())
 
@@ -114,4 +114,5 @@
         """Return the Members that serve; this VM where there are none."""
         own = self._peers.own
         members = [*self._peers.alive.values(), own]
-        return [m for m in members if m.ready and not m.leaving] or [own]
+        serving = [m for m in members if m.ready and not m.leaving]
+        return serving or ([own] if own.callers_port else [])
--- a/sesamespring/gateway/slots.py
+++ b/sesamespring/gateway/slots.py
@@ -136,7 +136,9 @@
         self._tickets.pop(ticket.number, None)
         self._cancel_timer(ticket)
         if ticket.holder is not None and ticket.waiting:
-            self._peers.send(SlotWithdrawn(request=ticket.number), ticket.holder.ip)
+            self._peers.send(
+                SlotWithdrawn(request=ticket.number), ticket.holder.address
+            )
         self._services.runner(ticket.service).withdraw(ticket.request)
         ticket.waiting = False
 
@@ -181,7 +183,7 @@
             tried=[target_id for target_id, _ in request.tried],
             data_centre=request.data_centre,
         )
-        self._peers.send(wanted, ticket.holder.ip)
+        self._peers.send(wanted, ticket.holder.address)
         ticket.timer = self._loop.call_later(FIRST_ANSWER_S, self._unanswered, ticket)
 
     def _unanswered(self, ticket):
@@ -202,21 +204,21 @@
         )
         self._decide_here(ticket)
 
-    def _queued(self, message, ip):
-        ticket = self._current(message, ip)
+    def _queued(self, message, address):
+        ticket = self._current(message, address)
         if ticket is None:
             return
         self._cancel_timer(ticket)
         ticket.asked = 0
         ticket.timer = self._loop.call_later(QUEUED_CHECK_S, self._unanswered, ticket)
 
-    def _granted(self, message, ip):
-        ticket = self._current(message, ip)
+    def _granted(self, message, address):
+        ticket = self._current(message, address)
         entry = self._estate.target((message.target, message.born_ms))
         if ticket is None or entry is None:
             outcome = Outcome.CANCELLED if ticket is None else Outcome.NOT_SENT
             unused = AttemptEnd(message.attempt, outcome, 0.0)
-            self._say_ended_to(ip, message.request, unused)
+            self._say_ended_to(address, message.request, unused)
             if ticket is not None:
                 self._cancel_timer(ticket)
                 ticket.request.tried.add((message.target, message.born_ms))
@@ -241,8 +243,8 @@
             )
         )
 
-    def _refused(self, message, ip):
-        ticket = self._current(message, ip)
+    def _refused(self, message, address):
+        ticket = self._current(message, address)
         if ticket is None:
             return
         self._cancel_timer(ticket)
@@ -258,10 +260,10 @@
             )
         )
 
-    def _current(self, message, ip):
+    def _current(self, message, address):
         """Return the Ticket that a message answers, or None where it is outdated."""
         ticket = self._tickets.get(message.request)
-        if ticket is None or ticket.holder is None or ticket.holder.ip != ip:
+        if ticket is None or ticket.holder is None or ticket.holder.address != address:
             return None
         is_hedge = getattr(message, "hedge", False)
         if message.round != ticket.round or not (ticket.waiting or is_hedge):
@@ -269,9 +271,9 @@
         return ticket
 
     def _say_ended(self, holder, number, end):
-        self._say_ended_to(holder.ip, number, end)
+        self._say_ended_to(holder.address, number, end)
 
-    def _say_ended_to(self, ip, number, end):
+    def _say_ended_to(self, address, number, end):
         load = end.load
         message = SlotEnded(
             request=number,
@@ -285,7 +287,7 @@
             message.waiting = load.waiting
             message.slots = load.slots
             message.slowdown = load.slowdown
-        self._peers.send(message, ip)
+        self._peers.send(message, address)
 
     def _cancel_timer(self, ticket):
         if ticket.timer is not None:
@@ -298,7 +300,7 @@
     """A request of another VM.
 
     Attributes:
-        ip: IP address of that VM.
+        address: Address of that VM.
         number: Its number there.
         service: Name of the service.
         request: The ScheduledRequest here.
@@ -306,7 +308,7 @@
         answer: The last message that was sent for it.
     """
 
-    ip: str
+    address: tuple
     number: int
     service: str
     request: ScheduledRequest
@@ -331,18 +333,18 @@
         peers.on_message(SlotEnded, self._ended)
         peers.on_message(SlotWithdrawn, self._withdrawn)
 
-    def _wanted(self, message, ip):
-        key = (ip, message.request)
+    def _wanted(self, message, address):
+        key = (address, message.request)
         borrowed = self._borrowed.get(key)
         if borrowed is not None and borrowed.round >= message.round:
             if borrowed.round == message.round:
-                self._peers.send(borrowed.answer, ip)
+                self._peers.send(borrowed.answer, address)
             return
         runner = self._services.runner(message.service_name)
         if runner is None:
             return
         if borrowed is None:
-            borrowed = self._new(message, ip, runner)
+            borrowed = self._new(message, address, runner)
         borrowed.round = message.round
         borrowed.answer = SlotQueued(request=message.request, round=message.round)
         request = borrowed.request
@@ -352,9 +354,9 @@
         request.tried = {key for key in runner.scheduler.states if key[0] in tried}
         runner.submit(request, lambda command: self._answer(borrowed, command))
         if isinstance(borrowed.answer, SlotQueued):
-            self._peers.send(borrowed.answer, ip)
+            self._peers.send(borrowed.answer, address)
 
-    def _new(self, message, ip, runner):
+    def _new(self, message, address, runner):
         now_s = self._loop.time()
         request = ScheduledRequest(
             number=runner.next_number(),
@@ -368,9 +370,9 @@
             data_centre=message.data_centre,
         )
         borrowed = _Borrowed(
-            ip, message.request, message.service_name, request, 0, None
+            address, message.request, message.service_name, request, 0, None
         )
-        self._borrowed[ip, message.request] = borrowed
+        self._borrowed[address, message.request] = borrowed
         # Word of its end may be lost.
         self._loop.call_at(request.deadline_s + EXPIRY_S, self._expire, borrowed)
         return borrowed
@@ -395,10 +397,10 @@
                 hedge=command.hedge,
                 expected_s=command.expected_s,
             )
-        self._peers.send(borrowed.answer, borrowed.ip)
+        self._peers.send(borrowed.answer, borrowed.address)
 
-    def _ended(self, message, ip):
-        borrowed = self._borrowed.get((ip, message.request))
+    def _ended(self, message, address):
+        borrowed = self._borrowed.get((address, message.request))
         if borrowed is None or message.attempt not in borrowed.request.attempts:
             return
         load = None
@@ -418,13 +420,13 @@
         if end.outcome is Outcome.ANSWERED:
             runner.withdraw(borrowed.request)
 
-    def _withdrawn(self, message, ip):
-        borrowed = self._borrowed.get((ip, message.request))
+    def _withdrawn(self, message, address):
+        borrowed = self._borrowed.get((address, message.request))
         if borrowed is not None:
             self._services.runner(borrowed.service).withdraw(borrowed.request)
 
     def _expire(self, borrowed):
-        self._borrowed.pop((borrowed.ip, borrowed.number), None)
+        self._borrowed.pop((borrowed.address, borrowed.number), None)
         runner = self._services.runner(borrowed.service)
         runner.withdraw(borrowed.request)
         for attempt in tuple(borrowed.request.attempts):
--- a/sesamespring/platform/settings.py
+++ b/sesamespring/platform/settings.py
@@ -48,9 +48,10 @@
         name: Name of the VM.
         data_centre: Its data centre.
         ip: Its IP address.
-        callers_address: Pair of IP and port for callers' requests.
-        ready_address: Pair of IP and port for the platform's readiness checks.
-        directory_address: Pair of IP and port for questions of callers.
+        callers_address: Pair of IP and port for callers' requests, or None where this
+            process takes none.
+        ready_address: Pair of IP and port for the platform's readiness checks, or None.
+        directory_address: Pair of IP and port for questions of callers, or None.
         internal_ports: Pair of the first and last port for traffic between VMs.
         seed_ips: Tuple of IP addresses of VMs that may be alive.
         store_address: Pair of IP and port of the platform's store.
@@ -64,9 +65,9 @@
     name: str
     data_centre: str
     ip: str
-    callers_address: tuple
-    ready_address: tuple
-    directory_address: tuple
+    callers_address: tuple | None
+    ready_address: tuple | None
+    directory_address: tuple | None
     internal_ports: tuple
     seed_ips: tuple
     store_address: tuple
@@ -76,6 +77,27 @@
     heartbeat_s: float
     bounds: Bounds
 
+    @property
+    def process_name(self):
+        """Name of this process; a VM may run one for callers and one directory."""
+        return self.name if self.callers_address else f"{self.name}/directory"
+
+    @property
+    def callers_port(self):
+        """Port for callers' requests, or 0 where this process takes none."""
+        return self.callers_address[1] if self.callers_address else 0
+
+    @property
+    def internal_address(self):
+        """Pair of IP and port for other VMs."""
+        first, last = self.internal_ports
+        return self.ip, (first if self.callers_address else last)
+
+    @property
+    def seed_addresses(self):
+        """Pairs of IP and port of VMs that may be alive."""
+        return {(ip, self.internal_ports[0]) for ip in self.seed_ips}
+
 
 def read_vm_settings(path):
     """Read the platform's settings file.
@@ -111,9 +133,9 @@
         name=str(own["nodeName"]),
         data_centre=str(own["zone"]),
         ip=str(own["ip"]),
-        callers_address=_address(listen["front"]),
-        ready_address=_address(listen["ready"]),
-        directory_address=_address(listen["directory"]),
+        callers_address=_address_or_none(listen, "front"),
+        ready_address=_address_or_none(listen, "ready"),
+        directory_address=_address_or_none(listen, "directory"),
         internal_ports=(int(first_port), int(last_port)),
         seed_ips=tuple(ip for ip in seeds if ip != own["ip"]),
         store_address=_address(content["platform"]["platform"]["address"]),
@@ -140,6 +162,10 @@
     )
 
 
+def _address_or_none(listen, name):
+    return _address(listen[name]) if name in listen else None
+
+
 def _address(text):
     """Split ``IP:PORT``.
 
--- a/sesamespring/routing/holders.py
+++ b/sesamespring/routing/holders.py
@@ -27,4 +27,5 @@
 def _score(subject, name, weight):
     digest = hashlib.blake2b(f"{subject}\0{name}".encode(), digest_size=HASH_BYTES)
     part = (int.from_bytes(digest.digest()) + 0.5) / 2 ** (8 * HASH_BYTES)
-    return -weight / math.log(part)
+    # Names without weight come last, in an order of their own.
+    return -weight / math.log(part) if weight > 0 else -1 / part
--- a/sesamespring/routing/membership.py
+++ b/sesamespring/routing/membership.py
@@ -15,7 +15,8 @@
 
     Attributes:
         name: Name of the VM.
-        ip: Its IP address.
+        address: Pair of IP and port for other VMs.
+        callers_port: Port at the same IP for callers' requests, or 0.
         data_centre: Its data centre.
         incarnation: Grows with each start of its process.
         sequence: Number of the heartbeat in this incarnation.
@@ -28,7 +29,8 @@
     """
 
     name: str
-    ip: str
+    address: tuple
+    callers_port: int
     data_centre: str
     incarnation: int
     sequence: int
--- a/tests/routing/test_deciders.py
+++ b/tests/routing/test_deciders.py
@@ -15,7 +15,8 @@
         "targets_version": 1,
         **changes,
     }
-    return Member(name, f"ip-{name}", data_centre, 1, 1, cores, **fields)
+    address = (f"ip-{name}", 1)
+    return Member(name, address, 80, data_centre, 1, 1, cores, **fields)
 
 
 def members(count, **changes):
