--- a/sesamespring/gateway/questions.py
+++ b/sesamespring/gateway/questions.py
@@ -11,7 +11,7 @@
 __all__ = ["DirectoryQuestions", "InternalQuestions", "ReadyQuestions"]
 
 JSON = [("Content-Type", "application/json")]
-ANSWER_TTL_S = 2.0
+ANSWER_TTL_S = 1.0
 METRICS_PATH = "/metrics"
 
 
