Space heartbeats out where there are many VMs

Change: above 48 VMs heartbeats and the silence that counts are stretched in proportion, to 0.6 s and 2 s at 96.

--- a/sesamespring/gateway/peers.py
+++ b/sesamespring/gateway/peers.py
@@ -11,16 +11,20 @@
 from sesamespring.gateway.generated.ttypes import Heartbeat, KnownVms
 from sesamespring.platform.store import ABSENT_VERSION
 from sesamespring.routing.deciders import usable_cores
-from sesamespring.routing.membership import Member, Membership
+from sesamespring.routing.membership import (
+    HEARTBEAT_S,
+    Member,
+    Membership,
+    pacing,
+)
 
-__all__ = ["HEARTBEAT_S", "Peers"]
+__all__ = ["Peers"]
 
-HEARTBEAT_S = 0.3
 VMS_TABLE = "vms"
 KNOWN_VMS_MAX = 128
 REGISTER_RETRY_S = 1.0
 # A VM that was silent for so long is greeted only now and then.
-GREETING_S = 2.0
+GREETING_S = 4.0
 
 
 class Peers:
@@ -111,7 +115,7 @@
             self._membership.check(self._loop.time())
             self.announce()
             self._refresh()
-            await asyncio.sleep(HEARTBEAT_S)
+            await asyncio.sleep(HEARTBEAT_S * pacing(len(self._addresses)))
 
     async def register(self):
         """Learn the addresses of other VMs, and leave this one's for later ones."""
--- a/sesamespring/routing/membership.py
+++ b/sesamespring/routing/membership.py
@@ -2,10 +2,13 @@
 
 import attrs
 
-__all__ = ["SILENCE_S", "Member", "Membership"]
+__all__ = ["HEARTBEAT_S", "Member", "Membership", "pacing"]
 
-# Three heartbeats of 0.3 s and what a busy VM may be late.
+HEARTBEAT_S = 0.3
+# Three heartbeats and what a busy VM may be late.
 SILENCE_S = 1.0
+# Every VM hears every other one, so beyond this many they speak less often.
+VMS_AT_FULL_PACE = 48
 PAUSE_S = 0.5
 
 
@@ -42,6 +45,15 @@
     targets_version: int
 
 
+def pacing(vms):
+    """Return how many times longer than usual heartbeats are apart.
+
+    >>> pacing(18), pacing(96)
+    (1.0, 2.0)
+    """
+    return max(1.0, vms / VMS_AT_FULL_PACE)
+
+
 class Membership:
     """The VMs that this one hears.
 
@@ -75,7 +87,8 @@
     def is_alive(self, name, now_s):
         """Whether a VM was heard of late."""
         heard_s = self._heard_s.get(name)
-        return heard_s is not None and now_s - heard_s < SILENCE_S
+        silence_s = SILENCE_S * pacing(len(self._members))
+        return heard_s is not None and now_s - heard_s < silence_s
 
     def alive(self, now_s):
         """Return the Members that were heard of late."""
