--- a/sesamespring/gateway/daemon.py
+++ b/sesamespring/gateway/daemon.py
@@ -14,6 +14,7 @@
 from sesamespring.gateway.event_log import EventLog
 from sesamespring.gateway.following import FeedServer, Following, Pace
 from sesamespring.gateway.forwarding import Forwarding, GatewayContext
+from sesamespring.gateway.lending import SlotLender
 from sesamespring.gateway.peers import Peers
 from sesamespring.gateway.prober import Prober
 from sesamespring.gateway.questions import (
@@ -23,7 +24,7 @@
     ReadyQuestions,
 )
 from sesamespring.gateway.services import Services
-from sesamespring.gateway.slots import SlotLender, Slots
+from sesamespring.gateway.slots import Slots
 from sesamespring.gateway.target_channels import TargetChannels
 from sesamespring.http.pipeline import ServerLimits
 from sesamespring.platform.declared import OPERATOR_TABLE
--- a/sesamespring/gateway/forwarding.py
+++ b/sesamespring/gateway/forwarding.py
@@ -12,9 +12,11 @@
     Outgoing,
     without_framing,
 )
+from sesamespring.gateway.bodies import read_body
+from sesamespring.gateway.reporting import RequestReport
 from sesamespring.http import header
 from sesamespring.http.headers import FRAMING, end_to_end
-from sesamespring.http.pipeline import CallerGone
+from sesamespring.http.incoming import CallerGone
 from sesamespring.platform.headers import (
     read_request_id,
     read_timeout_s,
@@ -30,7 +32,6 @@
 
 __all__ = ["Forwarding", "GatewayContext"]
 
-WHOLE_BODY_BYTES_MAX = 512 * 1024
 ATTEMPTS_TOTAL_MAX = 6
 RETRY_AFTER_S = 0.5
 # Statuses that promise that a request has not run; a target's own may not say so.
@@ -84,7 +85,7 @@
         self._context = context
         self._loop = asyncio.get_running_loop()
         self._inbox = asyncio.Queue()
-        self._request_id = None
+        self._report = RequestReport(incoming, context)
         self._route = None
         self._service = None
         self._outgoing = None
@@ -92,7 +93,6 @@
         self._tasks = {}
         self._may_have_run = False
         self._failure = None
-        self._attempts = 0
         self._last = ""
 
     async def run(self):
@@ -104,7 +104,7 @@
                 return
             await self._forward(*checked.unwrap())
         except CallerGone:
-            self._finish(0, "caller-gone")
+            self._report.finished(0, "caller-gone")
         except h11.ProtocolError as error:
             if self._incoming.answered:
                 self._incoming.break_off()
@@ -118,12 +118,12 @@
         if configuration is None or not context.estate.ready:
             return Failure(_Refused(503, "no-configuration", RETRY_AFTER_S))
         headers = incoming.headers
-        self._request_id = read_request_id(headers)
+        self._report.request_id = read_request_id(headers)
         host = header(headers, b"host", "").lower()
         route = context.routes.select(host, incoming.target)
         if route is None:
             return Failure(_Refused(404, "no-route"))
-        if self._request_id is None:
+        if self._report.request_id is None:
             return Failure(_Refused(400, "no request id"))
         length = header(headers, b"content-length", "0")
         if int(length) > configuration.limits.body_bytes_max:
@@ -135,15 +135,18 @@
         incoming = self._incoming
         self._route = route
         self._service = self._context.routes.choose_service(route)
+        self._report.route = route.name
+        self._report.service = self._service
         arrived_s = incoming.arrived_s
         deadline_s = arrived_s + min(timeout_s, route.timeout_s)
-        body, pieces = await self._read_body(deadline_s)
+        limit = self._context.estate.configuration.limits.body_bytes_max
+        body, pieces = await read_body(incoming, deadline_s, limit)
         headers = end_to_end(incoming.headers)
         self._outgoing = Outgoing(
             method=incoming.method,
             target=incoming.target,
             headers=without_framing(headers),
-            request_id=self._request_id,
+            request_id=self._report.request_id,
             body=body,
             framing=[pair for pair in incoming.headers if pair[0] in FRAMING],
             pieces=pieces,
@@ -178,28 +181,6 @@
         longest[self._route.name] = longest_s
         return longest_s - timeout_s
 
-    async def _read_body(self, deadline_s):
-        """Return the whole body, or None and the function that yields the rest."""
-        incoming = self._incoming
-        if incoming.body_ended:
-            return b"".join([piece async for piece in incoming.pieces()]), None
-        pieces = incoming.pieces()
-        taken = []
-        size = 0
-        try:
-            async with asyncio.timeout_at(deadline_s):
-                async for piece in pieces:
-                    taken.append(piece)
-                    size += len(piece)
-                    if size > WHOLE_BODY_BYTES_MAX:
-                        return None, lambda: _chain(taken, pieces, self._body_limit())
-        except TimeoutError:
-            raise CallerGone from None
-        return b"".join(taken), None
-
-    def _body_limit(self):
-        return self._context.estate.configuration.limits.body_bytes_max
-
     async def _follow(self):
         while True:
             message = await self._inbox.get()
@@ -214,14 +195,13 @@
             elif message is GONE:
                 # One that may run once only goes on, as its caller may learn of it.
                 if self._route.idempotent or not self._tasks:
-                    self._finish(0, "caller-gone")
+                    self._report.finished(0, "caller-gone")
                     return
             elif message is OUT_OF_TIME:
                 self._out_of_time()
                 return
 
     def _start(self, dispatch):
-        self._attempts += 1
         attempt = Attempt(
             dispatch,
             self._outgoing,
@@ -231,17 +211,8 @@
         task = self._loop.create_task(attempt.run())
         self._tasks[dispatch.attempt] = task
         task.add_done_callback(lambda done: self._take_end(dispatch, done))
-        self._context.log.routine(
-            "attempt",
-            request=self._request_id.decode("latin-1"),
-            target=dispatch.entry.id,
-            service=self._service,
-            decider=self._decider,
-            hedge=dispatch.hedge,
-            waited_s=dispatch.waited_s,
-            expected_s=dispatch.expected_s,
-            report_age_s=dispatch.report_age_s,
-        )
+        self._report.decider = self._decider
+        self._report.attempt_started(dispatch)
 
     @property
     def _decider(self):
@@ -260,17 +231,8 @@
         """Give the final answer, unless an attempt is still in progress."""
         if self._tasks:
             return False
-        self._context.log.event(
-            "slot-refused",
-            request=self._request_id.decode("latin-1"),
-            service=self._service,
-            decider=self._decider,
-            reason=refusal.reason.value,
-            waiting=refusal.waiting,
-            needed_s=refusal.needed_s,
-            left_s=refusal.request.deadline_s - self._loop.time(),
-            retry_after_s=refusal.retry_after_s,
-        )
+        self._report.decider = self._decider
+        self._report.slot_refused(refusal)
         if self._failure is not None:
             self._pass_failure()
         elif self._may_have_run:
@@ -284,17 +246,13 @@
         """Take in the end of an attempt and return whether the request is done."""
         self._tasks.pop(done.end.attempt, None)
         outcome = done.end.outcome
-        self._context.counters.add(
-            "attempts", service=self._service, outcome=outcome.value
-        )
-        if outcome is not Outcome.ANSWERED:
-            self._log_failure(done)
+        self._report.attempt_ended(done, failed=outcome is not Outcome.ANSWERED)
         if done.answer is not None and done.answer.body is None:
             return await self._stream(done)
         self._context.slots.end(self._ticket, done.end)
         if outcome is Outcome.ANSWERED:
             self._send_answer(done.answer)
-            self._finish(done.answer.status, "answered")
+            self._report.finished(done.answer.status, "answered")
             return True
         self._last = done.reason or outcome.value
         if not outcome.not_run:
@@ -312,11 +270,11 @@
             request.attempts_left += 1
         again = outcome.not_run or self._route.idempotent
         if outcome is Outcome.NOT_SENT and request.attempts_left > 0:
-            request.extra = self._attempts > 1
+            request.extra = self._report.attempts > 1
         elif again:
             again = self._context.slots.may_retry(self._ticket)
         body_at_hand = self._outgoing.body is not None
-        if again and body_at_hand and self._attempts < ATTEMPTS_TOTAL_MAX:
+        if again and body_at_hand and self._report.attempts < ATTEMPTS_TOTAL_MAX:
             self._context.slots.resubmit(self._ticket)
             return False
         if self._failure is not None:
@@ -340,7 +298,7 @@
             self._refuse(_Refused(502, f"target answered {self._failure.status}"))
             return
         self._send_answer(self._failure)
-        self._finish(self._failure.status, "failed-at-target")
+        self._report.finished(self._failure.status, "failed-at-target")
 
     def _send_answer(self, answer):
         headers = end_to_end(answer.headers)
@@ -368,11 +326,11 @@
                     await incoming.drain()
                 incoming.send_end()
                 outcome = done.end.outcome
-                self._finish(answer.status, "answered")
+                self._report.finished(answer.status, "answered")
         except (OSError, TimeoutError, h11.ProtocolError) as error:
             # An answer that ends early must not look whole.
             incoming.break_off()
-            self._finish(0, f"broken-off: {error!r}")
+            self._report.finished(0, f"broken-off: {error!r}")
         finally:
             end = attrs.evolve(done.end, outcome=outcome)
             if outcome is not Outcome.BROKEN:
@@ -405,51 +363,6 @@
                 self._context.slots.end(self._ticket, unused)
 
     def _refuse(self, refused):
-        headers = refusal_headers(self._request_id, refused.retry_after_s)
+        headers = refusal_headers(self._report.request_id, refused.retry_after_s)
         self._incoming.send_whole(refused.status, headers, b"")
-        self._finish(refused.status, refused.reason)
-
-    def _finish(self, status, reason):
-        """Count and log how the request ended."""
-        context = self._context
-        taken_s = self._loop.time() - self._incoming.arrived_s
-        service = self._service or ""
-        context.counters.add("requests", service=service, status=str(status))
-        context.counters.observe(service, taken_s)
-        write = context.log.routine if 200 <= status < 300 else context.log.event
-        configuration = context.estate.configuration
-        write(
-            "request",
-            request=(self._request_id or b"").decode("latin-1"),
-            status=status,
-            reason=reason,
-            route=self._route.name if self._route else "",
-            service=service,
-            attempts=self._attempts,
-            taken_s=taken_s,
-            configuration=configuration.version if configuration else 0,
-            targets_age_s=context.estate.registrations.age_s,
-        )
-
-    def _log_failure(self, done):
-        self._context.log.event(
-            "attempt-failed",
-            request=self._request_id.decode("latin-1"),
-            target=done.entry.id,
-            outcome=done.end.outcome.value,
-            reason=done.reason,
-            taken_s=done.end.taken_s,
-        )
-
-
-async def _chain(taken, pieces, bytes_max):
-    """Yield the pieces read so far and then the rest of a streamed body."""
-    size = 0
-    for piece in taken:
-        size += len(piece)
-        yield piece
-    async for piece in pieces:
-        size += len(piece)
-        if size > bytes_max:
-            raise CallerGone
-        yield piece
+        self._report.finished(refused.status, refused.reason)
