--- a/sesamespring/gateway/daemon.py
+++ b/sesamespring/gateway/daemon.py
@@ -105,7 +105,8 @@
             self._services, self._peers, self._estate, self._counters, self._log
         )
         self._lender = SlotLender(self._services, self._peers)
-        self._prober = Prober(self._services, self._counters)
+        checks_per_s = settings.bounds.probes_per_s
+        self._prober = Prober(self._services, self._counters, checks_per_s)
         self._context = GatewayContext(
             self._estate,
             None,
--- a/sesamespring/gateway/prober.py
+++ b/sesamespring/gateway/prober.py
@@ -11,6 +11,8 @@
 
 ROUND_S = 0.05
 REPORT_AGE_S = 0.1
+# Two VMs may decide for a service for a moment.
+BUDGET_KEPT_BACK = 2.0
 TIMEOUT_S = 0.5
 UNREACHABLE_REST_S = 0.3
 BODY_BYTES_MAX = 64 * 1024
@@ -23,11 +25,13 @@
         services: Object whose ``probed()`` returns pairs of ServiceRunner and health
             path for the services to ask about.
         counters: The Counters.
+        checks_per_s: How many health checks a target may get in a second.
     """
 
-    def __init__(self, services, counters):
+    def __init__(self, services, counters, checks_per_s):
         self._services = services
         self._counters = counters
+        self._interval_s = max(REPORT_AGE_S, BUDGET_KEPT_BACK / checks_per_s)
         self._channels = {}
         self._asked_s = {}
         self._running = {}
@@ -66,7 +70,7 @@
         if len(state.work) >= state.entry.slots:
             return False
         known_s = max(state.reported_s, self._asked_s.get(key, 0.0))
-        return now_s - known_s >= REPORT_AGE_S
+        return now_s - known_s >= self._interval_s
 
     async def _probe(self, runner, path, state):
         key = state.entry.key
--- a/sesamespring/platform/settings.py
+++ b/sesamespring/platform/settings.py
@@ -16,7 +16,6 @@
     """The figures that the platform's users agreed on.
 
     Attributes:
-        drain_s: Time after which a leaving target gets no request, in seconds.
         stop_s: Time from SIGTERM to SIGKILL, in seconds.
         retry_ratio: Extra attempts allowed for each request of a service.
         retry_slack: Extra attempts allowed besides, in each window.
@@ -25,10 +24,8 @@
         cold_slack: Requests allowed besides, in each second.
         answer_ttl_max_s: Longest time for which callers keep the directory's answer.
         probes_per_s: Health checks a second that a target may get.
-        catch_up_s: Time that lapsed registrations take to return, in seconds.
     """
 
-    drain_s: float
     stop_s: float
     retry_ratio: float
     retry_slack: float
@@ -37,7 +34,6 @@
     cold_slack: float
     answer_ttl_max_s: float
     probes_per_s: float
-    catch_up_s: float
 
 
 @attrs.frozen
@@ -58,7 +54,6 @@
         cores: Share of a core that the VM has.
         link_mbps: Bandwidth of its link, in megabits a second.
         descriptors_max: How many descriptors the process may open.
-        heartbeat_s: Interval of the targets' registrations, in seconds.
         bounds: The Bounds.
     """
 
@@ -74,7 +69,6 @@
     cores: float
     link_mbps: float
     descriptors_max: int
-    heartbeat_s: float
     bounds: Bounds
 
     @property
@@ -142,14 +136,12 @@
         cores=float(limits["cpuShare"]) * float(limits["cpuCores"]),
         link_mbps=float(limits["linkMbps"]),
         descriptors_max=int(limits["maxFds"]),
-        heartbeat_s=content["platform"]["heartbeatMs"] / 1000,
         bounds=_decode_bounds(content["terms"]["bounds"]),
     )
 
 
 def _decode_bounds(bounds):
     return Bounds(
-        drain_s=bounds["drainMs"] / 1000,
         stop_s=float(bounds["graceS"]),
         retry_ratio=float(bounds["retryBudgetRatio"]),
         retry_slack=float(bounds["budgetSlack"]),
@@ -158,7 +150,6 @@
         cold_slack=float(bounds["warmupSlack"]),
         answer_ttl_max_s=float(bounds["ttl_max_s"]),
         probes_per_s=float(bounds["probesPerS"]),
-        catch_up_s=float(bounds["syncS"]),
     )
 
 
--- a/tests/gateway/estate.py
+++ b/tests/gateway/estate.py
@@ -20,7 +20,7 @@
 READY_PORT = 23001
 DIRECTORY_PORT = 23002
 INTERNAL_PORT = 23003
-BOUNDS = Bounds(2.0, 6.0, 0.2, 56.0, 10.0, 1.5, 5.0, 5.0, 60.0, 4.0)
+BOUNDS = Bounds(6.0, 0.2, 56.0, 10.0, 1.5, 5.0, 5.0, 60.0)
 _networks = itertools.count(10)
 
 
@@ -149,7 +149,6 @@
             cores=1.0,
             link_mbps=1000.0,
             descriptors_max=1000,
-            heartbeat_s=1.5,
             bounds=BOUNDS,
         )
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -52,7 +52,7 @@
     assert settings.callers_address == ("10.1.0.15", 8641)
     assert settings.seed_ips == ("10.2.0.42",)
     assert settings.cores == pytest.approx(1.72)
-    assert settings.bounds.drain_s == 2.0
+    assert settings.bounds.stop_s == 6.0
 
 
 @pytest.mark.parametrize(
