Remove what nothing uses; forget VMs that are gone for good; mend the target stand-in

It waits now. Ruled out: the daemon, which refused as its only target reset every connection. Addresses and VMs that were silent for ten minutes are forgotten; before, heartbeats went to every address that was ever heard.

--- a/sesamespring/gateway/daemon.py
+++ b/sesamespring/gateway/daemon.py
@@ -104,7 +104,7 @@
         self._slots = Slots(
             self._services, self._peers, self._estate, self._counters, self._log
         )
-        self._lender = SlotLender(self._services, self._peers)
+        SlotLender(self._services, self._peers).listen()
         checks_per_s = settings.bounds.probes_per_s
         self._prober = Prober(self._services, self._counters, checks_per_s)
         self._context = GatewayContext(
--- a/sesamespring/gateway/lending.py
+++ b/sesamespring/gateway/lending.py
@@ -59,9 +59,12 @@
         self._peers = peers
         self._loop = asyncio.get_running_loop()
         self._borrowed = {}
-        peers.on_message(SlotWanted, self._wanted)
-        peers.on_message(SlotEnded, self._ended)
-        peers.on_message(SlotWithdrawn, self._withdrawn)
+
+    def listen(self):
+        """Take messages of other VMs from now on."""
+        self._peers.on_message(SlotWanted, self._wanted)
+        self._peers.on_message(SlotEnded, self._ended)
+        self._peers.on_message(SlotWithdrawn, self._withdrawn)
 
     def _wanted(self, message, address):
         key = (address, message.request)
--- a/sesamespring/gateway/peers.py
+++ b/sesamespring/gateway/peers.py
@@ -12,6 +12,7 @@
 from sesamespring.platform.store import ABSENT_VERSION
 from sesamespring.routing.deciders import usable_cores
 from sesamespring.routing.membership import (
+    FORGET_S,
     HEARTBEAT_S,
     Member,
     Membership,
@@ -51,6 +52,7 @@
         self._addresses = set(settings.seed_addresses)
         self._heard_s = {}
         self._greeted_s = {}
+        self._learned_s = {}
         self._alive = {}
         self._socket = None
         self._handlers = {Heartbeat: self._heard, KnownVms: self._told}
@@ -113,6 +115,7 @@
         """Send heartbeats and notice silence until cancelled."""
         while True:
             self._membership.check(self._loop.time())
+            self._forget_addresses()
             self.announce()
             self._refresh()
             await asyncio.sleep(HEARTBEAT_S * pacing(len(self._addresses)))
@@ -156,6 +159,16 @@
             callers_port=own.callers_port,
         )
 
+    def _forget_addresses(self):
+        """Forget addresses that have not answered for long, but for the seeds."""
+        oldest_s = self._loop.time() - FORGET_S
+        for address in self._addresses - self._settings.seed_addresses:
+            known_s = self._heard_s.get(address, self._learned_s.get(address, oldest_s))
+            if known_s < oldest_s:
+                self._addresses.discard(address)
+                for times in (self._heard_s, self._learned_s, self._greeted_s):
+                    times.pop(address, None)
+
     def _wants_greeting(self, address, now_s):
         heard_s = self._heard_s.get(address)
         if heard_s is not None and now_s - heard_s < GREETING_S:
@@ -194,6 +207,7 @@
         new = set(addresses) - known
         self._addresses |= new
         for address in new:
+            self._learned_s[address] = self._loop.time()
             self.send(self._heartbeat(), address)
 
     def _refresh(self):
--- a/sesamespring/http/incoming.py
+++ b/sesamespring/http/incoming.py
@@ -56,11 +56,6 @@
         """Pairs of lower-case name and value, in bytes."""
         return self.head.headers
 
-    @property
-    def gone(self):
-        """Whether the caller has gone away."""
-        return self._gone
-
     @property
     def answered(self):
         """Whether an answer was started."""
--- a/sesamespring/platform/declared.py
+++ b/sesamespring/platform/declared.py
@@ -77,7 +77,6 @@
         name=name,
         health_path=str(item["healthPath"]),
         connections_max=int(item["maxConnections"]),
-        cold_s=float(item.get("warmupS", 0.0)),
         cold_per_s=float(item.get("warmupPerS", 0.0)),
     )
 
--- a/sesamespring/routing/budget.py
+++ b/sesamespring/routing/budget.py
@@ -57,10 +57,6 @@
         self._extras.append(now_s)
         return True
 
-    def count(self, now_s):
-        """Count an extra attempt that was made without asking."""
-        self._extras.append(now_s)
-
     def _forget(self, now_s):
         oldest_s = now_s - self._window_s
         for times in (self._requests, self._extras):
--- a/sesamespring/routing/membership.py
+++ b/sesamespring/routing/membership.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-__all__ = ["HEARTBEAT_S", "Member", "Membership", "pacing"]
+__all__ = ["FORGET_S", "HEARTBEAT_S", "Member", "Membership", "pacing"]
 
 HEARTBEAT_S = 0.3
 # Three heartbeats and what a busy VM may be late.
@@ -10,6 +10,8 @@
 # Every VM hears every other one, so beyond this many they speak less often.
 VMS_AT_FULL_PACE = 48
 PAUSE_S = 0.5
+# A VM that was silent for so long is not expected back under its address.
+FORGET_S = 600.0
 
 
 @attrs.frozen
@@ -67,11 +69,6 @@
         self._heard_s = {}
         self._checked_s = None
 
-    @property
-    def known(self):
-        """All Members heard since they last started, alive or not."""
-        return self._members.values()
-
     def heard(self, member, now_s):
         """Take in a heartbeat; return whether the VM or its state is new."""
         if member.name == self._own_name:
@@ -105,11 +102,8 @@
             for name in self._heard_s:
                 self._heard_s[name] = min(now_s, self._heard_s[name] + paused_s)
         self._checked_s = now_s
-
-    def forget(self, name):
-        """Forget a VM that is gone for good."""
-        self._members.pop(name, None)
-        self._heard_s.pop(name, None)
+        for name in [n for n, s in self._heard_s.items() if now_s - s > FORGET_S]:
+            del self._members[name], self._heard_s[name]
 
 
 def _is_newer(member, current):
--- a/sesamespring/routing/records.py
+++ b/sesamespring/routing/records.py
@@ -61,14 +61,12 @@
         name: Name of the service.
         health_path: Path that tells a target's health and load.
         connections_max: How many connections a target accepts from all VMs.
-        cold_s: How long a target is in cold start after its start, in seconds.
         cold_per_s: Requests a second that a target bears in cold start.
     """
 
     name: str
     health_path: str
     connections_max: int
-    cold_s: float
     cold_per_s: float
 
 
--- a/sesamespring/routing/routes.py
+++ b/sesamespring/routing/routes.py
@@ -48,11 +48,6 @@
                 [0.0] * len(route.shares)
             )
 
-    @property
-    def hosts(self):
-        """The hosts that have routes."""
-        return self._by_host.keys()
-
     def select(self, host, target):
         """Return the Route with the longest prefix that begins the path, or None.
 
--- a/sesamespring/routing/scheduler.py
+++ b/sesamespring/routing/scheduler.py
@@ -222,7 +222,6 @@
         state.work[attempt] = Work(
             now_s, expected_s, slot.state_factor, reported, slot.full
         )
-        state.served = True
         if state.is_cold(now_s):
             state.cold_limit.count(now_s)
         request.attempts[attempt] = state.entry.key
--- a/sesamespring/routing/target_state.py
+++ b/sesamespring/routing/target_state.py
@@ -71,7 +71,6 @@
         failures: Failures since the last good answer.
         rest_until_s: Time until which it gets nothing after failures.
         cold_limit: Its ColdLimit.
-        served: Whether it ever got a request of this VM.
         costs_s: Time at which the costs below were worked out.
         cached_costs: The pair that ``costs`` returns.
     """
@@ -90,7 +89,6 @@
     failures: int = 0
     rest_until_s: float = -math.inf
     cold_limit: ColdLimit = attrs.field(factory=ColdLimit)
-    served: bool = False
     costs_s: float = -math.inf
     cached_costs: tuple = (1.0, 1.0)
 
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -136,6 +136,8 @@
             self.cancelled += 1
             raise ConnectionResetError
         gone.cancel()
+        # The reader must be free before the next request is read from it.
+        await asyncio.wait((gone,))
 
     async def _answer_with(self, fault, writer, request_id):
         signed = self._signed(request_id)
--- a/tests/routing/support.py
+++ b/tests/routing/support.py
@@ -34,7 +34,7 @@
 
 
 def scheduler(*targets, retry_slack=20.0, cold_per_s=6.7, now_s=0.0):
-    declaration = ServiceDeclaration("s", "/health", 100, 3.0, cold_per_s)
+    declaration = ServiceDeclaration("s", "/health", 100, cold_per_s)
     budget = RetryBudget(0.2, retry_slack, 10.0)
     made = ServiceScheduler(declaration, ColdBounds(), budget)
     made.set_targets(targets, frozenset(), now_s)
--- a/tests/routing/test_membership.py
+++ b/tests/routing/test_membership.py
@@ -46,3 +46,11 @@
         membership.heard(attrs.evolve(MEMBER, name=f"vm-{number}"), 0.0)
     assert membership.is_alive("vm-3", 1.9)
     assert not membership.is_alive("vm-3", 2.1)
+
+
+def test_vm_that_is_gone_for_good_is_forgotten():
+    membership = Membership("a")
+    membership.heard(attrs.evolve(MEMBER, sequence=50), 0.0)
+    for step in range(2100):
+        membership.check(step * 0.3)
+    assert membership.heard(MEMBER, 630.0)
