--- a/sesamespring/routing/work.py
+++ b/sesamespring/routing/work.py
@@ -45,8 +45,9 @@
         return self._crowding
 
     def is_known(self, route):
-        """Whether a request of the route was ever answered."""
-        return route in self._routes
+        """Whether enough requests of the route were answered to judge others by."""
+        average = self._routes.get(route)
+        return average is not None and average.answers >= FIRST_ANSWERS
 
     def usual_s(self, route, goal_s):
         """Return the usual seconds of a route's requests at a calm target.
