Add a fault soak that runs the real programs as processes

Cause: faults were brought about inside one process only, so signals, clocks and silent connections were proved by nothing of ours. Change: bin/soak runs a store, targets and VMs under random, overlapping faults from a seed: signals (kill, pause, stop, stop and kill, reload), clocks that are off at a start, links that delay, reset, silence or cut one way, a store that is away, silent, slow, loses answers or history, targets that crash, leave, turn slow, garble or lose their address to another service, changes and closed data centres. The promises are checked while it runs and afterwards; each check has a test that it sees the breach. Not covered: datagrams between VMs are not spoilt, only VMs as a whole.

--- /dev/null
+++ b/soak/vm.py
@@ -0,0 +1,140 @@
+"""Run one entry VM as a process that signals can stop, pause, kill and restart."""
+
+import asyncio
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+__all__ = ["SoakVm"]
+
+ROOT = Path(__file__).resolve().parent.parent
+CALLERS_PORT = 24000
+READY_PORT = 24001
+DIRECTORY_PORT = 24002
+INTERNAL_PORT = 24003
+EXIT_POLL_S = 0.05
+# What the agreed time to stop is, and how much longer the process may take to end.
+STOP_S = 6
+KILL_AFTER_S = STOP_S + 1.0
+
+_SETTINGS = """
+[self]
+nodeName = "{name}"
+ip = "{ip}"
+zone = "{data_centre}"
+[self.limits]
+cpuShare = 1.0
+cpuCores = 1
+memoryMb = 300
+maxFds = 2000
+linkMbps = 1000.0
+[network]
+internalPortRange = [{internal}, {last}]
+seeds = [{seeds}]
+[network.listen]
+front = "{ip}:{callers}"
+ready = "{ip}:{ready}"
+directory = "{ip}:{directory}"
+[platform.platform]
+address = "{store}"
+[terms.bounds]
+graceS = {stop_s}
+retryBudgetRatio = 0.2
+budgetSlack = 56
+budgetWindowS = 10
+warmupOverage = 1.5
+warmupSlack = 5
+ttl_max_s = 5
+probesPerS = 60
+"""
+
+
+class SoakVm:
+    """An entry VM and its process.
+
+    Args:
+        name: Its name.
+        ip: Its IP address.
+        data_centre: Its data centre.
+        seeds: IP addresses of VMs to greet first.
+        store_address: Pair of IP and port under which it finds the store.
+        folder: Folder for settings and logs.
+
+    Attributes:
+        name: Its name.
+        ip: Its IP address.
+        lifetime: How often its process was started.
+    """
+
+    def __init__(self, name, ip, data_centre, seeds, store_address, folder):
+        self.name = name
+        self.ip = ip
+        self.lifetime = 0
+        self._log = folder / f"{name}.log"
+        self._settings = folder / f"{name}.toml"
+        self._process = None
+        self._settings.write_text(
+            _SETTINGS.format(
+                name=name,
+                ip=ip,
+                data_centre=data_centre,
+                seeds=", ".join(f'"{seed}:1"' for seed in seeds),
+                store=f"{store_address[0]}:{store_address[1]}",
+                callers=CALLERS_PORT,
+                ready=READY_PORT,
+                directory=DIRECTORY_PORT,
+                internal=INTERNAL_PORT,
+                last=INTERNAL_PORT + 1,
+                stop_s=STOP_S,
+            ),
+            encoding="utf-8",
+        )
+
+    @property
+    def running(self):
+        """Whether its process runs."""
+        return self._process is not None and self._process.poll() is None
+
+    @property
+    def log(self):
+        """Path of its log."""
+        return self._log
+
+    def start(self, clock_offset_ms=0):
+        """Start the process with a wall clock that is off by some milliseconds."""
+        self.lifetime += 1
+        environment = {
+            **os.environ,
+            "SESAMESPRING_SETTINGS": str(self._settings),
+            "PYTHONDONTWRITEBYTECODE": "1",
+        }
+        words = [sys.executable, "-m", "soak.shifted", str(clock_offset_ms)]
+        with self._log.open("ab") as log:
+            self._process = subprocess.Popen(
+                words, cwd=ROOT, env=environment, stdout=log, stderr=log
+            )
+
+    def send(self, number):
+        """Send a signal to the process, if it runs."""
+        if self.running:
+            self._process.send_signal(number)
+
+    def kill(self):
+        """End the process at once."""
+        self.send(signal.SIGKILL)
+        if self._process is not None:
+            self._process.wait()
+
+    async def stop(self):
+        """End the process by SIGTERM; return whether it ended in its time."""
+        self.send(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(KILL_AFTER_S):
+                while self.running:
+                    await asyncio.sleep(EXIT_POLL_S)
+            return True
+        except TimeoutError:
+            self.kill()
+            return False
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -2,15 +2,31 @@
 
 import asyncio
 import contextlib
+import time
 
 import attrs
 
-__all__ = ["PlatformTarget", "Received"]
+__all__ = ["Arrival", "PlatformTarget", "Received"]
 
 # How long an early answer comes before the rest of the body is read.
 EARLY_READ_S = 0.1
 
 
+@attrs.frozen
+class Arrival:
+    """A request that reached a target.
+
+    Attributes:
+        at_s: Time of its arrival, on the monotonic clock.
+        request_id: The id that the caller gave.
+        accepted: Whether the target ran it.
+    """
+
+    at_s: float
+    request_id: str
+    accepted: bool
+
+
 @attrs.define
 class Received:
     """A request that a target began to run.
@@ -40,6 +56,8 @@
             ``reset``, ``truncate``, ``unsigned``, ``fail``, ``unframed``, ``extra``,
             ``other-id``, ``early``, ``silent`` or ``close``.
         received: List of Received that it began to run.
+        arrivals: List of Arrival of all requests but health checks and those that
+            expected another target.
         overrun: How many requests found no free slot.
         connections: How many connections were opened to it.
         cold_left_ms: What its health check says of cold start.
@@ -52,6 +70,7 @@
         self.slots = slots
         self.behaviour = lambda received: None
         self.received = []
+        self.arrivals = []
         self.finished = []
         self.cancelled = 0
         self.overrun = 0
@@ -99,7 +118,9 @@
             headers = {"Sesamespring-Instance-Id": self.id}
             return await self._answer(writer, 421, b"", headers)
         request_id = fields["sesamespring-request-id"]
-        if self._running >= self.slots:
+        accepted = self._running < self.slots
+        self.arrivals.append(Arrival(time.monotonic(), request_id, accepted))
+        if not accepted:
             self.overrun += 1
             headers = {
                 "Sesamespring-Not-Executed": "1",
--- /dev/null
+++ b/tests/soak/test_promises.py
@@ -0,0 +1,135 @@
+"""Test that the soak's checks see each broken promise."""
+
+import types
+
+import pytest
+
+from soak.disturbances import STORE, Disturbances
+from soak.load import Call
+from soak.promises import check_promises, check_recovery
+from standins.platform_target import Arrival
+
+
+def target(name="t1", **fields):
+    server = types.SimpleNamespace(id=name, arrivals=[])
+    usual = {
+        "name": name,
+        "service": "orders",
+        "data_centre": "dc-a",
+        "server": server,
+        "leaving_since_s": None,
+        "cold_until_s": 0.0,
+    }
+    return types.SimpleNamespace(**{**usual, **fields})
+
+
+def estate(*targets, **fields):
+    usual = {
+        "targets": list(targets),
+        "vms": [types.SimpleNamespace(name="vm-0")],
+        "disturbances": Disturbances(),
+        "configurations": [(1, 0.0)],
+        "closed": {},
+    }
+    return types.SimpleNamespace(**{**usual, **fields})
+
+
+def call(request_id="r1", **fields):
+    usual = {
+        "path": "/order/1",
+        "idempotent": False,
+        "vm": "vm-0",
+        "lifetime": 1,
+        "sent_s": 10.0,
+        "ended_s": 10.1,
+        "status": 200,
+        "body": b"answer to r1",
+    }
+    return Call(request_id, **{**usual, **fields})
+
+
+def promises(estate, *calls):
+    found = check_promises(estate, types.SimpleNamespace(calls=list(calls)))
+    return {breach.promise for breach in found}
+
+
+def ran(place, request_id="r1", at_s=10.05, accepted=True):
+    place.server.arrivals.append(Arrival(at_s, request_id, accepted))
+    return place
+
+
+def test_nothing_is_broken_where_all_went_well():
+    assert promises(estate(ran(target())), call()) == set()
+
+
+def test_sees_a_second_run():
+    places = ran(target("t1")), ran(target("t2"))
+    assert "at-most-once" in promises(estate(*places), call())
+
+
+@pytest.mark.parametrize("status", [408, 421, 429, 503])
+def test_sees_a_refusal_of_what_ran(status):
+    assert "not-run" in promises(estate(ran(target())), call(status=status))
+
+
+def test_sees_an_answer_to_another_request():
+    wrong = call(body=b"answer to r2")
+    assert "whole-answer" in promises(estate(ran(target())), wrong)
+    assert "whole-answer" in promises(estate(target()), call())
+
+
+def test_sees_a_request_that_a_planned_stop_cut():
+    place = ran(target())
+    seen = estate(place)
+    seen.disturbances.begin("vm-0", "terminated").start_s = 9.0
+    assert "nothing-cut" in promises(seen, call(status=0))
+    seen.disturbances.begin("vm-0", "killed").start_s = 9.0
+    assert "nothing-cut" not in promises(seen, call(status=0))
+
+
+def test_sees_a_request_without_a_final_answer():
+    silent = call(status=None, ended_s=13.4)
+    assert "final-answer" in promises(estate(target()), silent)
+
+
+def test_sees_work_for_a_leaving_target():
+    place = ran(target(leaving_since_s=5.0))
+    seen = estate(place)
+    assert "leaving" in promises(seen, call())
+    seen.disturbances.begin(STORE, "away").start_s = 6.0
+    assert "leaving" not in promises(seen, call())
+
+
+def test_sees_work_in_a_closed_data_centre():
+    place = ran(target())
+    assert "closed-data-centre" in promises(estate(place, closed={"dc-a": 4.0}))
+    assert promises(estate(place, closed={"dc-a": 6.0})) == set()
+
+
+def test_sees_a_cold_target_overrun():
+    place = target(cold_until_s=12.0)
+    for number in range(16):
+        ran(place, f"r{number}", 10 + number / 20)
+    assert "cold" in promises(estate(place))
+
+
+def test_sees_too_many_extra_attempts():
+    place = target()
+    for number in range(58):
+        ran(place, "r1", 10 + number / 20, accepted=False)
+    assert "retry-budget" in promises(estate(place))
+
+
+def test_sees_a_configuration_that_is_late_or_reverts():
+    probe = {"path": "/tag-1/1", "idempotent": True, "body": b"answer to r1"}
+    late = call(status=404, **probe)
+    assert "in-force" in promises(estate(target()), late)
+    first = call(sent_s=0.5, ended_s=0.6, **probe)
+    again = call(sent_s=1.0, ended_s=1.1, status=404, **probe)
+    assert "never-reverts" in promises(estate(ran(target())), first, again)
+
+
+def test_sees_that_too_little_is_served_after_the_faults():
+    calls = [call(f"r{n}", status=200 if n else 503) for n in range(10)]
+    assert check_recovery(types.SimpleNamespace(calls=calls), 9.0, 11.0)
+    assert not check_recovery(types.SimpleNamespace(calls=calls[1:]), 9.0, 11.0)
