Hear a VM whose clock went back at its restart

Cause: heartbeats are ordered by incarnation, which is a time of day. A VM that starts again with an earlier clock was left unheard by all others for its whole lifetime, out of the directory, and decided on its own beside the VM that the others chose. Ruled out: a counter in the store, as a VM also starts while the store is away. Change: another incarnation of a VM that has been silent counts as its restart. Before: the new test failed. After: it passes, with the earlier ones on late and repeated heartbeats.

--- a/sesamespring/routing/membership.py
+++ b/sesamespring/routing/membership.py
@@ -23,7 +23,7 @@
         address: Pair of IP and port for other VMs.
         callers_port: Port at the same IP for callers' requests, or 0.
         data_centre: Its data centre.
-        incarnation: Grows with each start of its process.
+        incarnation: Names a start of its process; mostly grows with each one.
         sequence: Number of the heartbeat in this incarnation.
         cores: How many cores' worth of requests it can serve.
         ready: Whether it serves requests.
@@ -74,9 +74,9 @@
         if member.name == self._own_name:
             return False
         current = self._members.get(member.name)
-        if current is not None and not _is_newer(member, current):
-            return False
         silent = not self.is_alive(member.name, now_s)
+        if current is not None and not _is_newer(member, current, silent):
+            return False
         self._members[member.name] = member
         self._heard_s[member.name] = now_s
         return silent or current is None or _role(member) != _role(current)
@@ -106,11 +106,15 @@
             del self._members[name], self._heard_s[name]
 
 
-def _is_newer(member, current):
-    return (member.incarnation, member.sequence) > (
-        current.incarnation,
-        current.sequence,
-    )
+def _is_newer(member, current, silent):
+    """Whether a heartbeat is newer than the one that is known of its VM.
+
+    An incarnation is a time of day, and a clock may go back. Another incarnation of a
+    VM that has fallen silent is taken for its restart, whatever its number.
+    """
+    if member.incarnation == current.incarnation:
+        return member.sequence > current.sequence
+    return silent or member.incarnation > current.incarnation
 
 
 def _role(member):
--- a/soak/estate.py
+++ b/soak/estate.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import enum
 import itertools
 import os
 
@@ -33,6 +34,17 @@
 _networks = itertools.count()
 
 
+class Subnet(enum.IntEnum):
+    """What has addresses of its own."""
+
+    STORE = 1
+    VMS = 2
+    STORE_LINKS = 3
+    CALLERS_LINKS = 4
+    TARGETS = 5
+    TARGET_LINKS = 6
+
+
 @attrs.define(eq=False)
 class SoakTarget:
     """A target, its link and what it says in the store.
@@ -82,8 +94,9 @@
     """
 
     def __init__(self, vms, folder):
-        # Seeds that run side by side, or one soon after the other, do not meet.
-        network = f"127.{64 + os.getpid() % 128 ^ next(_networks) % 64}"
+        # Processes that run side by side do not meet, nor does one seed the next.
+        self._network = f"127.{64 + os.getpid() % 128}"
+        self._first_subnet = 10 * (next(_networks) % 25)
         self.store = StoreStandIn()
         self.disturbances = Disturbances()
         self.callers_links = {}
@@ -91,34 +104,35 @@
         self.targets = []
         self.configurations = []
         self.closed = {}
-        self._network = network
         self._numbers = itertools.count(1)
         self._stack = contextlib.AsyncExitStack()
         self._heartbeats = {}
-        ips = [f"{network}.1.{number + 1}" for number in range(vms)]
+        ips = [self._ip(Subnet.VMS, number) for number in range(vms)]
         self.vms = [
             SoakVm(
                 f"vm-{number}",
                 ip,
                 DATA_CENTRES[number % len(DATA_CENTRES)],
                 [other for other in ips[:3] if other != ip],
-                (f"{network}.2.{number + 1}", STORE_PORT),
+                (self._ip(Subnet.STORE_LINKS, number), STORE_PORT),
                 folder,
             )
             for number, ip in enumerate(ips)
         ]
 
     async def __aenter__(self):
-        store_address = (f"{self._network}.0.1", STORE_PORT)
+        store_address = (self._ip(Subnet.STORE), STORE_PORT)
         await self.store.start(*store_address)
         self._stack.callback(self.store.close)
         for number, vm in enumerate(self.vms):
             link = await self._start_link(
-                store_address, f"{self._network}.2.{number + 1}", STORE_PORT
+                store_address, self._ip(Subnet.STORE_LINKS, number), STORE_PORT
             )
             self.store_links[vm.name] = link
             link = await self._start_link(
-                (vm.ip, CALLERS_PORT), f"{self._network}.3.{number + 1}", CALLERS_PORT
+                (vm.ip, CALLERS_PORT),
+                self._ip(Subnet.CALLERS_LINKS, number),
+                CALLERS_PORT,
             )
             self.callers_links[vm.ip] = link
         await self.put_configuration()
@@ -139,8 +153,8 @@
 
     def callers_address(self, ip):
         """Return where callers connect who were told a VM's address."""
-        number = int(ip.rpartition(".")[2])
-        return f"{self._network}.3.{number}", CALLERS_PORT
+        number = int(ip.rpartition(".")[2]) - 1
+        return self._ip(Subnet.CALLERS_LINKS, number), CALLERS_PORT
 
     def directory_address(self, vm):
         """Return the pair of IP and port of a VM's directory."""
@@ -175,10 +189,10 @@
         server = PlatformTarget(f"t{number}", WORK_S, SLOTS)
         server.cold_left_ms = int(cold_s * 1000)
         port = TARGETS_PORT + place
-        real = (f"{self._network}.4.{number % 250 + 1}", port)
+        real = (self._ip(Subnet.TARGETS, number % 250), port)
         await server.start(*real)
         self._stack.callback(server.close)
-        link = await self._start_link(real, f"{self._network}.5.1", port)
+        link = await self._start_link(real, self._ip(Subnet.TARGET_LINKS), port)
         data_centre = DATA_CENTRES[place % len(DATA_CENTRES)]
         target = SoakTarget(service, data_centre, place, server, link)
         target.cold_until_s = asyncio.get_running_loop().time() + cold_s
@@ -205,6 +219,9 @@
         self._heartbeats.pop(target.name).cancel()
         await self.store.drop("servers", target.name)
 
+    def _ip(self, subnet, number=0):
+        return f"{self._network}.{self._first_subnet + subnet}.{number + 1}"
+
     async def _start_link(self, target, host, port):
         link = Link(target)
         await link.start(host, port)
@@ -229,7 +246,7 @@
         left_s = target.cold_until_s - asyncio.get_running_loop().time()
         registration = {
             "service": target.service,
-            "address": f"{self._network}.5.1:{TARGETS_PORT + target.place}",
+            "address": f"{self._ip(Subnet.TARGET_LINKS)}:{TARGETS_PORT + target.place}",
             "zone": target.data_centre,
             "version": "v1",
             "slots": SLOTS,
--- a/tests/routing/test_membership.py
+++ b/tests/routing/test_membership.py
@@ -54,3 +54,13 @@
     for step in range(2100):
         membership.check(step * 0.3)
     assert membership.heard(MEMBER, 630.0)
+
+
+def test_vm_whose_clock_went_back_at_its_restart_counts_after_the_silence():
+    membership = Membership("a")
+    membership.heard(attrs.evolve(MEMBER, incarnation=9, sequence=50), 0.0)
+    restarted = attrs.evolve(MEMBER, incarnation=7)
+    assert not membership.heard(restarted, 0.5)
+    assert membership.heard(attrs.evolve(restarted, sequence=3), 1.1)
+    assert membership.is_alive("b", 1.5)
+    assert not membership.heard(attrs.evolve(restarted, sequence=2), 2.6)
