Give attempts of two deciders different numbers, and each back to its own

Cause: a request whose decider fell silent was decided here from then on, but an attempt that the silent VM had granted was given back to nobody: an AttributeError ended the request's task, so its caller got no answer. Both VMs also number attempts from 1, so one attempt could be taken for the other. Found by reading; where else: no other place keeps numbers of two VMs in one set. Change: each granted attempt has a number of its own here, and remembers who granted it. 'holder' and 'decider' named one thing; it is 'decider' throughout now. Before: both new tests failed. After: they pass; tests of gateway and routing pass.

--- a/sesamespring/gateway/following.py
+++ b/sesamespring/gateway/following.py
@@ -17,7 +17,7 @@
 from sesamespring.platform.rows import encode_changes
 from sesamespring.platform.store import StoreClient
 from sesamespring.routing.deciders import reader_names
-from sesamespring.routing.holders import rank
+from sesamespring.routing.rendezvous import rank
 
 __all__ = ["Following", "FeedServer"]
 
--- a/sesamespring/gateway/forwarding.py
+++ b/sesamespring/gateway/forwarding.py
@@ -217,8 +217,8 @@
     @property
     def _decider(self):
         """Name of the VM that decided about the request last, for the log."""
-        holder = self._ticket.holder if self._ticket else None
-        return holder.name if holder else "here"
+        decider = self._ticket.decider if self._ticket else None
+        return decider.name if decider else "here"
 
     def _take_end(self, dispatch, task):
         if task.cancelled():
--- a/sesamespring/gateway/services.py
+++ b/sesamespring/gateway/services.py
@@ -26,7 +26,7 @@
         self._peers = peers
         self._channels = channels
         self._runners = {}
-        self._holders = {}
+        self._deciders = {}
         self._named = {}
         self._loop = asyncio.get_running_loop()
 
@@ -34,13 +34,13 @@
         """Return the ServiceRunner of a service, or None."""
         return self._runners.get(service)
 
-    def holder(self, service):
+    def decider(self, service):
         """Return the name of the VM that decides for a service."""
-        holder = self._holders.get(service)
-        if holder is None:
+        decider = self._deciders.get(service)
+        if decider is None:
             order = decision_order(service, self._serving())
-            holder = self._holders[service] = order[0] if order else ""
-        return holder
+            decider = self._deciders[service] = order[0] if order else ""
+        return decider
 
     def named(self, service, data_centre):
         """Return the Members that callers in a data centre are sent to."""
@@ -52,9 +52,9 @@
             self._named[key] = named
         return named
 
-    def is_holder(self, service):
+    def is_decider(self, service):
         """Whether this VM decides for a service."""
-        return self.holder(service) == self._settings.process_name
+        return self.decider(service) == self._settings.process_name
 
     def probed(self):
         """Return pairs of ServiceRunner and health path to send health checks for.
@@ -68,12 +68,14 @@
         return [
             (runner, configuration.services[name].health_path)
             for name, runner in self._runners.items()
-            if name in configuration.services and runner.in_use and self.is_holder(name)
+            if name in configuration.services
+            and runner.in_use
+            and self.is_decider(name)
         ]
 
     def update(self):
         """Take in a change of the estate or of the VMs."""
-        self._holders.clear()
+        self._deciders.clear()
         self._named.clear()
         configuration = self._estate.configuration
         if configuration is None:
@@ -99,7 +101,7 @@
             self._runners[name] = runner
         scheduler = runner.scheduler
         scheduler.set_declaration(declaration)
-        scheduler.set_vms(len(self._serving()), not self.is_holder(name))
+        scheduler.set_vms(len(self._serving()), not self.is_decider(name))
         closed = self._estate.closed_data_centres
         scheduler.set_targets(self._estate.targets(name), closed, self._loop.time())
 
--- a/sesamespring/gateway/slots.py
+++ b/sesamespring/gateway/slots.py
@@ -36,6 +36,19 @@
 DISTRUST_S = 1.0
 
 
+@attrs.frozen
+class _Grant:
+    """An attempt that another VM granted.
+
+    Attributes:
+        address: Address of that VM.
+        attempt: Number of the attempt there.
+    """
+
+    address: tuple
+    attempt: int
+
+
 @attrs.define(eq=False)
 class Ticket:
     """A request of this VM and where it waits for a slot.
@@ -45,11 +58,11 @@
         request: The ScheduledRequest.
         receive: Function called with each Dispatch and Refusal.
         number: Its number towards other VMs.
-        holder: The Member that was asked, or None where this VM decides.
+        decider: The Member that was asked, or None where this VM decides.
         round: Grows with each time that it wants a slot.
         asked: How often it asked in this round without an answer.
         timer: The handle of the next check, or None.
-        granted: Numbers of attempts that the holder granted and that are in progress.
+        granted: Dict of _Grant by attempt, of those in progress.
         waiting: Whether it wants a slot now.
     """
 
@@ -57,11 +70,11 @@
     request: ScheduledRequest
     receive: object
     number: int
-    holder: object = None
+    decider: object = None
     round: int = 0
     asked: int = 0
     timer: object = None
-    granted: set = attrs.field(factory=set)
+    granted: dict = attrs.field(factory=dict)
     waiting: bool = False
 
 
@@ -84,6 +97,8 @@
         self._log = log
         self._loop = asyncio.get_running_loop()
         self._numbers = itertools.count(1)
+        # This VM's own schedulers number their attempts upwards.
+        self._attempts = itertools.count(-1, -1)
         self._tickets = {}
         self._distrusted = {}
         peers.on_message(SlotQueued, self._queued)
@@ -109,11 +124,11 @@
         ticket.waiting = True
         ticket.round += 1
         ticket.asked = 0
-        holder = self._trusted_holder(ticket.service)
-        if holder is None:
+        decider = self._trusted_decider(ticket.service)
+        if decider is None:
             self._decide_here(ticket)
             return
-        ticket.holder = holder
+        ticket.decider = decider
         self._ask(ticket)
 
     def may_retry(self, ticket):
@@ -123,36 +138,36 @@
 
     def end(self, ticket, end):
         """Report how an attempt ended."""
-        if end.attempt in ticket.granted:
-            ticket.granted.discard(end.attempt)
-            self._say_ended(ticket.holder, ticket.number, end)
-        else:
+        grant = ticket.granted.pop(end.attempt, None)
+        if grant is None:
             self._services.runner(ticket.service).end(end)
+        else:
+            self._say_ended(grant, ticket.number, end)
 
     def withdraw(self, ticket):
         """Forget a request whose attempts have all ended or go on unheeded."""
         self._tickets.pop(ticket.number, None)
         self._cancel_timer(ticket)
-        if ticket.holder is not None and ticket.waiting:
+        if ticket.decider is not None and ticket.waiting:
             self._peers.send(
-                SlotWithdrawn(request=ticket.number), ticket.holder.address
+                SlotWithdrawn(request=ticket.number), ticket.decider.address
             )
         self._services.runner(ticket.service).withdraw(ticket.request)
         ticket.waiting = False
 
-    def _trusted_holder(self, service):
+    def _trusted_decider(self, service):
         """Return the Member to ask, or None where this VM decides itself."""
-        holder = self._services.holder(service)
-        member = self._peers.alive.get(holder)
-        if member is None or self._services.is_holder(service):
+        decider = self._services.decider(service)
+        member = self._peers.alive.get(decider)
+        if member is None or self._services.is_decider(service):
             return None
-        if self._loop.time() < self._distrusted.get(holder, 0.0):
+        if self._loop.time() < self._distrusted.get(decider, 0.0):
             return None
         return member
 
     def _decide_here(self, ticket):
         self._cancel_timer(ticket)
-        ticket.holder = None
+        ticket.decider = None
         runner = self._services.runner(ticket.service)
         if ticket.request.number == 0:
             ticket.request.number = runner.next_number()
@@ -181,22 +196,22 @@
             tried=[target_id for target_id, _ in request.tried],
             data_centre=request.data_centre,
         )
-        self._peers.send(wanted, ticket.holder.address)
+        self._peers.send(wanted, ticket.decider.address)
         ticket.timer = self._loop.call_later(FIRST_ANSWER_S, self._unanswered, ticket)
 
     def _unanswered(self, ticket):
         ticket.timer = None
         if not ticket.waiting:
             return
-        holder = ticket.holder
-        if ticket.asked < ASKED_MAX and self._peers.is_alive(holder.name):
+        decider = ticket.decider
+        if ticket.asked < ASKED_MAX and self._peers.is_alive(decider.name):
             self._ask(ticket)
             return
-        self._distrusted[holder.name] = self._loop.time() + DISTRUST_S
-        self._counters.add("holders_silent")
+        self._distrusted[decider.name] = self._loop.time() + DISTRUST_S
+        self._counters.add("deciders_silent")
         self._log.event(
-            "holder-silent",
-            peer=holder.name,
+            "decider-silent",
+            peer=decider.name,
             service=ticket.service,
             outcome="deciding-here",
         )
@@ -215,8 +230,9 @@
         entry = self._estate.target((message.target, message.born_ms))
         if ticket is None or entry is None:
             outcome = Outcome.CANCELLED if ticket is None else Outcome.NOT_SENT
+            grant = _Grant(address, message.attempt)
             unused = AttemptEnd(message.attempt, outcome, 0.0)
-            self._say_ended_to(address, message.request, unused)
+            self._say_ended(grant, message.request, unused)
             if ticket is not None:
                 self._cancel_timer(ticket)
                 ticket.request.tried.add((message.target, message.born_ms))
@@ -224,7 +240,8 @@
             return
         self._cancel_timer(ticket)
         ticket.waiting = False
-        ticket.granted.add(message.attempt)
+        attempt = next(self._attempts)
+        ticket.granted[attempt] = _Grant(address, message.attempt)
         request = ticket.request
         request.attempts_left -= 1
         request.tried.add(entry.key)
@@ -232,7 +249,7 @@
         ticket.receive(
             Dispatch(
                 request,
-                message.attempt,
+                attempt,
                 entry,
                 message.hedge,
                 waited_s,
@@ -261,21 +278,22 @@
     def _current(self, message, address):
         """Return the Ticket that a message answers, or None where it is outdated."""
         ticket = self._tickets.get(message.request)
-        if ticket is None or ticket.holder is None or ticket.holder.address != address:
+        if (
+            ticket is None
+            or ticket.decider is None
+            or ticket.decider.address != address
+        ):
             return None
         is_hedge = getattr(message, "hedge", False)
         if message.round != ticket.round or not (ticket.waiting or is_hedge):
             return None
         return ticket
 
-    def _say_ended(self, holder, number, end):
-        self._say_ended_to(holder.address, number, end)
-
-    def _say_ended_to(self, address, number, end):
+    def _say_ended(self, grant, number, end):
         load = end.load
         message = SlotEnded(
             request=number,
-            attempt=end.attempt,
+            attempt=grant.attempt,
             outcome=end.outcome.value,
             taken_s=end.taken_s,
             cold_left_s=end.cold_left_s,
@@ -285,7 +303,7 @@
             message.waiting = load.waiting
             message.slots = load.slots
             message.slowdown = load.slowdown
-        self._peers.send(message, address)
+        self._peers.send(message, grant.address)
 
     def _cancel_timer(self, ticket):
         if ticket.timer is not None:
--- a/sesamespring/routing/deciders.py
+++ b/sesamespring/routing/deciders.py
@@ -5,7 +5,7 @@
 centre as the service's slots need.
 """
 
-from sesamespring.routing.holders import rank
+from sesamespring.routing.rendezvous import rank
 
 __all__ = ["decision_order", "named_vms", "reader_names", "usable_cores"]
 
--- a/sesamespring/routing/holders.py
+++ b/sesamespring/routing/rendezvous.py
@@ -1,4 +1,4 @@
-"""Choose which VMs decide for a service, alike at all that see the same peers."""
+"""Rank names for a subject, alike at all VMs that see the same names."""
 
 import hashlib
 import math
--- /dev/null
+++ b/tests/gateway/test_slots.py
@@ -0,0 +1,137 @@
+"""Test how slots are asked for, granted and given back, without sockets."""
+
+import asyncio
+import types
+
+from sesamespring.gateway.generated.ttypes import SlotEnded, SlotGranted, SlotWanted
+from sesamespring.gateway.slots import ASKED_MAX, FIRST_ANSWER_S, Slots
+from sesamespring.routing.messages import (
+    AttemptEnd,
+    Dispatch,
+    Outcome,
+    ScheduledRequest,
+)
+
+DECIDER = types.SimpleNamespace(name="decider", address=("ip", 1))
+ENTRY = types.SimpleNamespace(id="t", born_ms=1, key=("t", 1))
+SILENCE_S = FIRST_ANSWER_S * (ASKED_MAX + 1)
+
+
+class Peers:
+    """Stand in for Peers with one other VM, the decider."""
+
+    alive = {DECIDER.name: DECIDER}
+
+    def __init__(self):
+        self.sent = []
+        self.handlers = {}
+
+    def on_message(self, message_type, handler):
+        self.handlers[message_type] = handler
+
+    def send(self, message, address):
+        self.sent.append(message)
+
+    def is_alive(self, name):
+        return True
+
+    def deliver(self, message):
+        self.handlers[type(message)](message, DECIDER.address)
+
+
+class Runner:
+    """Stand in for a ServiceRunner that grants everything at once."""
+
+    def __init__(self):
+        self.ended = []
+
+    def next_number(self):
+        return 1
+
+    def submit(self, request, receive):
+        receive(Dispatch(request, 1, ENTRY, False, 0.0, 0.1, 0.0))
+
+    def end(self, end):
+        self.ended.append(end.attempt)
+
+    def withdraw(self, request):
+        pass
+
+
+def play(scenario):
+    """Run ``scenario(slots, peers, runner)`` with a Slots whose decider is remote."""
+
+    async def whole():
+        peers, runner = Peers(), Runner()
+        services = types.SimpleNamespace(
+            runner=lambda service: runner,
+            decider=lambda service: DECIDER.name,
+            is_decider=lambda service: False,
+        )
+        estate = types.SimpleNamespace(target=lambda key: ENTRY)
+        counters = types.SimpleNamespace(add=lambda name: None)
+        log = types.SimpleNamespace(event=lambda event, **fields: None)
+        slots = Slots(services, peers, estate, counters, log)
+        await scenario(slots, peers, runner)
+
+    asyncio.run(whole())
+
+
+def request():
+    now_s = asyncio.get_running_loop().time()
+    return ScheduledRequest(
+        number=0,
+        route="r",
+        goal_s=0.2,
+        priority=1,
+        due_s=now_s + 0.2,
+        deadline_s=now_s + 1.0,
+        idempotent=True,
+        attempts_left=3,
+        data_centre="a",
+    )
+
+
+def grant(peers):
+    wanted = [m for m in peers.sent if isinstance(m, SlotWanted)][-1]
+    peers.deliver(
+        SlotGranted(
+            request=wanted.request,
+            round=wanted.round,
+            attempt=1,
+            target="t",
+            born_ms=1,
+            hedge=False,
+            expected_s=0.1,
+        )
+    )
+
+
+def test_attempt_of_a_decider_that_fell_silent_is_still_given_back():
+    async def scenario(slots, peers, runner):
+        dispatched = []
+        ticket = slots.submit("s", request(), dispatched.append)
+        grant(peers)
+        slots.resubmit(ticket)
+        await asyncio.sleep(SILENCE_S)
+        granted, own = dispatched
+        slots.end(ticket, AttemptEnd(granted.attempt, Outcome.ANSWERED, 0.1))
+        (ended,) = [m for m in peers.sent if isinstance(m, SlotEnded)]
+        assert ended.attempt == 1
+        assert runner.ended == []
+        slots.end(ticket, AttemptEnd(own.attempt, Outcome.ANSWERED, 0.1))
+        assert runner.ended == [1]
+
+    play(scenario)
+
+
+def test_attempts_of_two_deciders_have_different_numbers():
+    async def scenario(slots, peers, runner):
+        dispatched = []
+        ticket = slots.submit("s", request(), dispatched.append)
+        grant(peers)
+        slots.resubmit(ticket)
+        await asyncio.sleep(SILENCE_S)
+        assert len({dispatch.attempt for dispatch in dispatched}) == 2
+
+    play(scenario)
