--- a/sesamespring/gateway/forwarding.py
+++ b/sesamespring/gateway/forwarding.py
@@ -13,6 +13,7 @@
     without_framing,
 )
 from sesamespring.gateway.bodies import read_body
+from sesamespring.gateway.caller_answers import BrokenOff, send_answer, stream_answer
 from sesamespring.gateway.reporting import RequestReport
 from sesamespring.http import header
 from sesamespring.http.headers import FRAMING, end_to_end
@@ -251,7 +252,7 @@
             return await self._stream(done)
         self._context.slots.end(self._ticket, done.end)
         if outcome is Outcome.ANSWERED:
-            self._send_answer(done.answer)
+            send_answer(self._incoming, done.answer)
             self._report.finished(done.answer.status, "answered")
             return True
         self._last = done.reason or outcome.value
@@ -297,46 +298,27 @@
         if self._failure.status in PROMISES:
             self._refuse(_Refused(502, f"target answered {self._failure.status}"))
             return
-        self._send_answer(self._failure)
+        send_answer(self._incoming, self._failure)
         self._report.finished(self._failure.status, "failed-at-target")
 
-    def _send_answer(self, answer):
-        headers = end_to_end(answer.headers)
-        incoming = self._incoming
-        bodiless = incoming.method == "HEAD" or answer.status in (204, 304)
-        if bodiless:
-            incoming.send_head(answer.status, headers)
-            incoming.send_end()
-            return
-        incoming.send_whole(answer.status, without_framing(headers), answer.body)
-
     async def _stream(self, done):
         """Pass a long answer on as it comes in."""
-        answer, incoming = done.answer, self._incoming
-        headers = end_to_end(answer.headers)
-        if header(headers, b"content-length") is None:
-            headers.append((b"transfer-encoding", b"chunked"))
         outcome = Outcome.BROKEN
         self._stop_others(done.end.attempt)
+        channel = done.answer.channel
+        deadline_s = self._ticket.request.deadline_s
         try:
-            async with asyncio.timeout_at(self._ticket.request.deadline_s):
-                incoming.send_head(answer.status, headers)
-                async for piece in answer.channel.pieces():
-                    incoming.send_data(piece)
-                    await incoming.drain()
-                incoming.send_end()
-                outcome = done.end.outcome
-                self._report.finished(answer.status, "answered")
-        except (OSError, TimeoutError, h11.ProtocolError) as error:
-            # An answer that ends early must not look whole.
-            incoming.break_off()
-            self._report.finished(0, f"broken-off: {error!r}")
+            await stream_answer(self._incoming, done.answer, deadline_s)
+            outcome = done.end.outcome
+            self._report.finished(done.answer.status, "answered")
+        except BrokenOff as error:
+            self._report.finished(0, str(error))
         finally:
-            end = attrs.evolve(done.end, outcome=outcome)
-            if outcome is not Outcome.BROKEN:
-                self._context.channels.put_back(done.entry, answer.channel, None)
+            if outcome is Outcome.BROKEN:
+                channel.abort()
             else:
-                answer.channel.abort()
+                self._context.channels.put_back(done.entry, channel, None)
+            end = attrs.evolve(done.end, outcome=outcome)
             self._context.slots.end(self._ticket, end)
         return True
 
