Send callers to large VMs as long as these carry the load

Ruled out: a decider that is too slow (0.44 of 2.15 cores, and large VMs never found it silent). Change: the named VMs are the first ones by size whose number times the smallest one's cores carries the service's slots. VMs of equal size are named as before.

--- a/sesamespring/routing/deciders.py
+++ b/sesamespring/routing/deciders.py
@@ -2,7 +2,7 @@
 
 Load that it answers: VMs of unequal size, from a dozen to some hundred. What one VM
 does for all others goes to the large ones; callers go to as many VMs of their data
-centre as the service's slots need.
+centre as the service's slots need, the large ones first.
 """
 
 from sesamespring.routing.rendezvous import rank
@@ -61,19 +61,38 @@
         slots: How many slots the service's targets have.
     """
     by_name = {member.name: member for member in members}
-    order = [by_name[n] for n in rank(service, {m.name: m.cores for m in members})]
+    order = [by_name[name] for name in decision_order(service, members)]
     near = [member for member in order if member.data_centre == data_centre]
     far = [member for member in order if member.data_centre != data_centre]
     data_centres = len({member.data_centre for member in members}) or 1
     needed_cores = slots / data_centres / SLOTS_PER_CORE
-    named = []
-    for member in near[:NAMED_MOST]:
-        if len(named) >= NAMED_LEAST and sum(m.cores for m in named) >= needed_cores:
-            break
-        named.append(member)
+    named = near[: _enough([member.cores for member in near], needed_cores)]
     return named + far[: max(NAMED_FAR, NAMED_LEAST - len(named))]
 
 
+def _enough(cores, needed_cores):
+    """Return how many of the first VMs carry a load that callers share out evenly.
+
+    Callers choose among all that they are told with equal chance, so the smallest one
+    binds: a small VM beside large ones makes them carry less, not more.
+
+    Args:
+        cores: Cores of the VMs in the order of preference.
+        needed_cores: Cores that the load needs.
+
+    >>> _enough([2.0, 2.0, 0.2, 0.2], 3.0), _enough([0.5] * 9, 3.0)
+    (2, 6)
+    """
+    best, best_cores = 0, 0.0
+    for count in range(NAMED_LEAST, min(NAMED_MOST, len(cores)) + 1):
+        carried = count * min(cores[:count])
+        if carried > best_cores:
+            best, best_cores = count, carried
+        if carried >= needed_cores:
+            break
+    return best or NAMED_LEAST
+
+
 def reader_names(members):
     """Return the names of the VMs that read the store, in different data centres.
 
--- a/tests/routing/test_deciders.py
+++ b/tests/routing/test_deciders.py
@@ -56,6 +56,26 @@
     assert len(near) == 8
 
 
+def test_small_vms_do_not_share_what_large_ones_carry():
+    small = [member(f"small-{n}", cores=0.25) for n in range(30)]
+    large = [member(f"large-{n}", cores=2.0) for n in range(2)]
+    named = named_vms("s", [*small, *large], "dc-a", slots=34)
+    assert {m.name for m in named} == {"large-0", "large-1"}
+
+
+def test_one_large_vm_does_not_stand_for_many_small_ones():
+    small = [member(f"small-{n}", cores=0.5) for n in range(30)]
+    named = named_vms("s", [*small, member("large", cores=1.5)], "dc-a", slots=48)
+    assert len(named) == 12
+
+
+def test_vm_of_another_data_centre_is_a_large_one():
+    small = [member(f"small-{n}", f"dc-{n % 3}", cores=0.2) for n in range(30)]
+    large = [member(f"large-{n}", f"dc-{n % 3}", cores=2.0) for n in range(6)]
+    named = named_vms("s", [*small, *large], "dc-0", slots=90)
+    assert [m.cores for m in named if m.data_centre != "dc-0"] == [2.0]
+
+
 def test_readers_are_in_different_data_centres_and_reach_the_store():
     vms = members(12)
     cut = [
