Use nearly the whole budget of extra attempts; let rejected callers return soon

Half of the budget was kept back, and a caller whose attempts were used up was told to come back in 0.5 s, past its goal of 0.25 s, though another target may take it at once. Ruled out: learning which targets shed, as all did alike. Change: 0.9 of the ratio is used; a request that another VM may have counted earns nothing at the VM that decides after it, which the half had covered; Retry-After is 0.05 s after a rejection.

--- a/sesamespring/gateway/forwarding.py
+++ b/sesamespring/gateway/forwarding.py
@@ -35,6 +35,7 @@
 
 ATTEMPTS_TOTAL_MAX = 6
 RETRY_AFTER_S = 0.5
+RETRY_ELSEWHERE_S = 0.05
 # Statuses that promise that a request has not run; a target's own may not say so.
 PROMISES = frozenset({408, 421, 429, 503})
 GONE = object()
@@ -283,7 +284,8 @@
         elif self._may_have_run:
             self._refuse(_Refused(502, self._last))
         else:
-            self._refuse(_Refused(503, self._last, RETRY_AFTER_S))
+            # Another target may take it at once, but no attempt is left here.
+            self._refuse(_Refused(503, self._last, RETRY_ELSEWHERE_S))
         return True
 
     def _out_of_time(self):
--- a/sesamespring/routing/budget.py
+++ b/sesamespring/routing/budget.py
@@ -4,9 +4,10 @@
 
 __all__ = ["RetryBudget"]
 
-# What is kept back, as requests of the window before may not count in full and
-# other VMs may not know of each other.
-KEPT_BACK = 0.5
+# Requests are counted when they are first decided about, and reach targets later.
+RATIO_USED = 0.9
+# VMs that do not know of each other divide the slack by too few.
+SLACK_USED = 0.5
 
 
 class RetryBudget:
@@ -47,8 +48,9 @@
             vms: How many VMs may spend at the same time.
         """
         self._forget(now_s)
-        allowed = self._ratio * len(self._requests) + self._slack / max(1, vms)
-        return len(self._extras) + 1 <= allowed * KEPT_BACK
+        earned = RATIO_USED * self._ratio * len(self._requests)
+        share = SLACK_USED * self._slack / max(1, vms)
+        return len(self._extras) + 1 <= earned + share
 
     def spend(self, now_s, vms):
         """Take one extra attempt and return whether there was one."""
--- a/sesamespring/routing/scheduler.py
+++ b/sesamespring/routing/scheduler.py
@@ -145,7 +145,8 @@
         request.queued_s = now_s
         if request.number not in self._requests:
             self._requests[request.number] = request
-            self._budget.earn(now_s)
+            if not request.counted:
+                self._budget.earn(now_s)
         self._waiting[request.number] = request
         return self.advance(now_s)
 
