--- a/sesamespring/entry/daemon.py
+++ b/sesamespring/entry/daemon.py
@@ -26,7 +26,8 @@
 from sesamespring.http import ServerConnections, listen, server_context
 from sesamespring.logs import configure_logs, get_logger
 from sesamespring.peers import Heartbeat
-from sesamespring.platform import JsonTable, StoreClient
+from sesamespring.platform.json_table import JsonTable
+from sesamespring.platform.store import StoreClient
 
 __all__ = ["EntryDaemon", "run_entry"]
 
--- a/sesamespring/entry/hold_rows.py
+++ b/sesamespring/entry/hold_rows.py
@@ -23,7 +23,7 @@
     WriteSession,
 )
 from sesamespring.errors import OutsideError
-from sesamespring.platform import Condition, Write
+from sesamespring.platform.json_table import Condition, Write
 
 __all__ = ["HOLD_PREFIX", "SESSION_PREFIX", "HoldRows"]
 
--- a/sesamespring/entry/key_rows.py
+++ b/sesamespring/entry/key_rows.py
@@ -10,7 +10,8 @@
 
 from sesamespring.errors import ErrorKind, OutsideError
 from sesamespring.logs import get_logger
-from sesamespring.platform import ABSENT_VERSION, ENTRIES_MAX, Condition, Write
+from sesamespring.platform.json_table import ENTRIES_MAX, Condition, Write
+from sesamespring.platform.rows import ABSENT_VERSION
 
 __all__ = ["FINISHED", "FREE", "ROW_PREFIX", "SENDING", "ClaimedRow", "KeyRows"]
 
--- a/sesamespring/entry/session_sweep.py
+++ b/sesamespring/entry/session_sweep.py
@@ -5,7 +5,7 @@
 from sesamespring.entry.hold_rows import HOLD_PREFIX, SESSION_PREFIX
 from sesamespring.errors import OutsideError
 from sesamespring.logs import get_logger
-from sesamespring.platform import Condition, Write
+from sesamespring.platform.json_table import Condition, Write
 
 __all__ = ["keep_sweeping", "sweep_sessions"]
 
--- a/sesamespring/entry/vm_rows.py
+++ b/sesamespring/entry/vm_rows.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from sesamespring.platform import Condition, Write
+from sesamespring.platform.json_table import Condition, Write
 
 __all__ = ["VmEntry", "VmRows"]
 
--- a/sesamespring/gateway/caller_answers.py
+++ b/sesamespring/gateway/caller_answers.py
@@ -5,8 +5,7 @@
 import h11
 
 from sesamespring.gateway.attempt import without_framing
-from sesamespring.http import header
-from sesamespring.http.headers import end_to_end
+from sesamespring.http.headers import end_to_end, header
 
 __all__ = ["BrokenOff", "send_answer", "stream_answer"]
 
--- a/sesamespring/gateway/forwarding.py
+++ b/sesamespring/gateway/forwarding.py
@@ -15,8 +15,7 @@
 from sesamespring.gateway.bodies import read_body
 from sesamespring.gateway.caller_answers import BrokenOff, send_answer, stream_answer
 from sesamespring.gateway.reporting import RequestReport
-from sesamespring.http import header
-from sesamespring.http.headers import FRAMING, end_to_end
+from sesamespring.http.headers import FRAMING, end_to_end, header
 from sesamespring.http.incoming import CallerGone
 from sesamespring.platform.headers import (
     read_request_id,
--- a/sesamespring/http/__init__.py
+++ b/sesamespring/http/__init__.py
@@ -1,22 +1,31 @@
-"""Speak HTTP/1.1 by h11 over asyncio streams, on both sides."""
+"""Speak HTTP/1.1 by h11 on both sides.
 
-from sesamespring.http.client import ClientConnection, ClientResponse, fetch
-from sesamespring.http.exchange import OUTCOME_HEADER, ServerExchange
-from sesamespring.http.server import ServerConnections
-from sesamespring.http.stream import HttpStream, header, json_body, listen
-from sesamespring.http.tls import client_context, server_context
+What is named here is loaded when it is first used: the daemon on the platform needs a
+few of these modules only, and pays in time and memory for each at every start.
+"""
 
-__all__ = [
-    "ClientConnection",
-    "ClientResponse",
-    "HttpStream",
-    "OUTCOME_HEADER",
-    "ServerConnections",
-    "ServerExchange",
-    "client_context",
-    "fetch",
-    "header",
-    "json_body",
-    "listen",
-    "server_context",
-]
+import importlib
+
+_MODULES = {
+    "ClientConnection": "client",
+    "ClientResponse": "client",
+    "HttpStream": "stream",
+    "OUTCOME_HEADER": "exchange",
+    "ServerConnections": "server",
+    "ServerExchange": "exchange",
+    "client_context": "tls",
+    "fetch": "client",
+    "header": "headers",
+    "json_body": "headers",
+    "listen": "stream",
+    "server_context": "tls",
+}
+
+__all__ = list(_MODULES)
+
+
+def __getattr__(name):
+    module = _MODULES.get(name)
+    if module is None:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    return getattr(importlib.import_module(f"{__name__}.{module}"), name)
--- a/sesamespring/http/exchange.py
+++ b/sesamespring/http/exchange.py
@@ -6,7 +6,7 @@
 import h11
 
 from sesamespring.errors import ANSWERS, Outcome
-from sesamespring.http.stream import json_body
+from sesamespring.http.headers import json_body
 
 __all__ = ["OUTCOME_HEADER", "ServerExchange", "refusal_headers"]
 
--- a/sesamespring/http/headers.py
+++ b/sesamespring/http/headers.py
@@ -1,6 +1,8 @@
-"""Choose the headers that go on to the next hop."""
+"""Read headers, choose those that go on to the next hop, and encode bodies."""
 
-__all__ = ["FRAMING", "end_to_end"]
+import json
+
+__all__ = ["FRAMING", "end_to_end", "header", "json_body"]
 
 FRAMING = frozenset({b"content-length", b"transfer-encoding"})
 _HOP_BY_HOP = frozenset(
@@ -33,3 +35,16 @@
     }
     dropped = (named - _NEVER_HOP_BY_HOP) | _HOP_BY_HOP
     return [(name, value) for name, value in headers if name not in dropped]
+
+
+def header(headers, name, default=None):
+    """Return the text of the first header called ``name`` (lower-case bytes)."""
+    for key, value in headers:
+        if key == name:
+            return value.decode("latin-1")
+    return default
+
+
+def json_body(value):
+    """Encode a JSON value as bytes with keys in order."""
+    return json.dumps(value, sort_keys=True, separators=(",", ":")).encode()
--- a/sesamespring/http/server.py
+++ b/sesamespring/http/server.py
@@ -6,7 +6,8 @@
 
 from sesamespring.errors import ANSWERS, ErrorKind
 from sesamespring.http.exchange import ServerExchange, refusal_headers
-from sesamespring.http.stream import HttpStream, json_body
+from sesamespring.http.headers import json_body
+from sesamespring.http.stream import HttpStream
 
 __all__ = ["ServerConnections"]
 
--- a/sesamespring/http/stream.py
+++ b/sesamespring/http/stream.py
@@ -1,7 +1,6 @@
 """Join an h11 state machine to a pair of asyncio streams."""
 
 import asyncio
-import json
 import select
 from http import HTTPStatus
 
@@ -13,8 +12,6 @@
     "HttpStream",
     "WatchedReader",
     "connect",
-    "header",
-    "json_body",
     "listen",
 ]
 
@@ -211,16 +208,3 @@
                 "head too large",
                 error_status_hint=HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
             )
-
-
-def header(headers, name, default=None):
-    """Return the text of the first header called ``name`` (lower-case bytes)."""
-    for key, value in headers:
-        if key == name:
-            return value.decode("latin-1")
-    return default
-
-
-def json_body(value):
-    """Encode a JSON value as bytes with keys in order."""
-    return json.dumps(value, sort_keys=True, separators=(",", ":")).encode()
--- a/sesamespring/platform/headers.py
+++ b/sesamespring/platform/headers.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from sesamespring.http import header
+from sesamespring.http.headers import header
 from sesamespring.routing.records import LoadReport
 
 __all__ = [
--- a/sesamespring/platform/json_table.py
+++ b/sesamespring/platform/json_table.py
@@ -6,7 +6,7 @@
 from returns.result import Failure, Success
 
 from sesamespring.errors import ErrorKind, OutsideError
-from sesamespring.http import json_body
+from sesamespring.http.headers import json_body
 from sesamespring.platform.rows import ABSENT_VERSION, RowVersion, RowWrite
 from sesamespring.platform.store import key_after
 
--- a/sesamespring/platform/store.py
+++ b/sesamespring/platform/store.py
@@ -8,8 +8,8 @@
 from returns.result import Failure, Success
 
 from sesamespring.errors import ErrorKind, OutsideError
-from sesamespring.http import json_body
 from sesamespring.http.channel import open_channel
+from sesamespring.http.headers import json_body
 from sesamespring.platform.rows import (
     FEED_PATH,
     PART,
--- a/sesamespring/resources/audit.py
+++ b/sesamespring/resources/audit.py
@@ -14,7 +14,7 @@
 from returns.result import Success
 
 from sesamespring.errors import ErrorKind, OutsideError
-from sesamespring.platform import ENTRIES_MAX, Condition, Write
+from sesamespring.platform.json_table import ENTRIES_MAX, Condition, Write
 from sesamespring.resources.changes import IDENTITY_PREFIX
 from sesamespring.resources.records import (
     CHANGE_PREFIX,
--- a/sesamespring/resources/changes.py
+++ b/sesamespring/resources/changes.py
@@ -15,7 +15,8 @@
 
 from sesamespring.errors import ErrorKind, OutsideError
 from sesamespring.ini import Problem
-from sesamespring.platform import ABSENT_VERSION, ENTRIES_MAX, Condition, Write
+from sesamespring.platform.json_table import ENTRIES_MAX, Condition, Write
+from sesamespring.platform.rows import ABSENT_VERSION
 from sesamespring.resources.kinds import resource_key, resource_to_json
 from sesamespring.resources.parser import check_whole
 from sesamespring.resources.records import ACCEPTED, AuditRecord, change_key
--- a/tests/entry/test_key_fault_orders.py
+++ b/tests/entry/test_key_fault_orders.py
@@ -18,7 +18,8 @@
 from sesamespring.entry import key_owners
 from sesamespring.entry.idempotency import KeyGate
 from sesamespring.errors import ErrorKind, OutsideError
-from sesamespring.platform import ABSENT_VERSION, Conflict, Row
+from sesamespring.platform.json_table import Conflict, Row
+from sesamespring.platform.rows import ABSENT_VERSION
 
 NAMES = ("a", "b", "c")
 MODES = ("up", "down", "call-lost", "answer-lost", "answer-lost-then-down")
--- a/tests/entry/test_session_sweep.py
+++ b/tests/entry/test_session_sweep.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from sesamespring.entry.session_sweep import sweep_sessions
-from sesamespring.platform import Write
+from sesamespring.platform.json_table import Write
 from tests.resources.store import running_store
 
 ADDRESS = ("127.0.0.1", 1)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -6,13 +6,8 @@
 from returns.result import Failure
 
 from sesamespring.errors import OutsideError
-from sesamespring.platform import (
-    ABSENT_VERSION,
-    ENTRIES_MAX,
-    Condition,
-    Row,
-    Write,
-)
+from sesamespring.platform.json_table import ENTRIES_MAX, Condition, Row, Write
+from sesamespring.platform.rows import ABSENT_VERSION
 from tests.resources.store import running_store
 
 
--- a/tests/resources/store.py
+++ b/tests/resources/store.py
@@ -3,7 +3,8 @@
 import contextlib
 import itertools
 
-from sesamespring.platform import JsonTable, StoreClient
+from sesamespring.platform.json_table import JsonTable
+from sesamespring.platform.store import StoreClient
 from standins.store import StoreStandIn
 
 HOST = "127.0.6.1"
