Encode a whole table once for VMs that start together; retry soon at a starting VM

Change: a reader keeps the encoded rows of its newest version; a VM without configuration says 0.2 s.

--- a/sesamespring/gateway/following.py
+++ b/sesamespring/gateway/following.py
@@ -14,7 +14,7 @@
 from sesamespring.errors import ErrorKind, OutsideError
 from sesamespring.platform.declared import OPERATOR_TABLE
 from sesamespring.platform.registrations import TARGETS_TABLE
-from sesamespring.platform.rows import encode_changes
+from sesamespring.platform.rows import encode_page, encode_rows
 from sesamespring.platform.store import StoreClient
 from sesamespring.routing.deciders import reader_names
 from sesamespring.routing.rendezvous import rank
@@ -224,6 +224,9 @@
 
     def __init__(self, replicas):
         self._replicas = replicas
+        # Dict by table of a pair of version and the encoded rows of the whole table,
+        # as many VMs that start together ask for the same.
+        self._encoded = {}
 
     async def answer(self, question):
         """Return the pair of status and body for a FeedQuestion."""
@@ -236,4 +239,15 @@
             changes = replica.changes_after(question.after)
         if changes is None:
             return 410, b"{}"
-        return 200, encode_changes(changes)
+        if question.after is None:
+            rows = self._encode_whole(question.table, changes)
+        else:
+            rows = encode_rows(changes.rows)
+        return 200, encode_page(rows, changes.version, changes.age_s)
+
+    def _encode_whole(self, table, changes):
+        version, rows = self._encoded.get(table, (None, b""))
+        if version != changes.version:
+            rows = encode_rows(changes.rows)
+            self._encoded[table] = (changes.version, rows)
+        return rows
--- a/sesamespring/gateway/forwarding.py
+++ b/sesamespring/gateway/forwarding.py
@@ -34,6 +34,8 @@
 
 ATTEMPTS_TOTAL_MAX = 6
 RETRY_AFTER_S = 0.5
+# A VM that starts knows its configuration soon.
+RETRY_STARTING_S = 0.2
 RETRY_ELSEWHERE_S = 0.05
 # Statuses that promise that a request has not run; a target's own may not say so.
 PROMISES = frozenset({408, 421, 429, 503})
@@ -117,7 +119,7 @@
         context, incoming = self._context, self._incoming
         configuration = context.estate.configuration
         if configuration is None or not context.estate.ready:
-            return Failure(_Refused(503, "no-configuration", RETRY_AFTER_S))
+            return Failure(_Refused(503, "no-configuration", RETRY_STARTING_S))
         headers = incoming.headers
         self._report.request_id = read_request_id(headers)
         host = header(headers, b"host", "").lower()
--- a/sesamespring/platform/rows.py
+++ b/sesamespring/platform/rows.py
@@ -19,7 +19,8 @@
     "TableChanges",
     "decode_page",
     "decode_row",
-    "encode_changes",
+    "encode_page",
+    "encode_rows",
     "encode_transaction",
     "read_feed_question",
 ]
@@ -174,12 +175,21 @@
     return FeedQuestion(table, after, wait_s)
 
 
-def encode_changes(changes):
-    """Return the JSON body that answers a FeedQuestion with TableChanges."""
-    rows = [_encode_row(row) for row in changes.rows]
-    age_ms = int(changes.age_s * 1000)
-    body = {"rows": rows, "ver": changes.version, "hasMore": False, "ageMs": age_ms}
-    return json.dumps(body, separators=(",", ":")).encode()
+def encode_rows(rows):
+    """Return the JSON list of StoredRows, in bytes, for ``encode_page``."""
+    return json.dumps(list(map(_encode_row, rows)), separators=(",", ":")).encode()
+
+
+def encode_page(rows, version, age_s):
+    """Return the JSON body that answers a FeedQuestion.
+
+    Args:
+        rows: What ``encode_rows`` returned.
+        version: The version up to which they are complete.
+        age_s: How long ago they were complete, in seconds.
+    """
+    rest = b'"ver":%d,"hasMore":false,"ageMs":%d' % (version, int(age_s * 1000))
+    return b'{"rows":' + rows + b"," + rest + b"}"
 
 
 def _encode_row(row):
--- /dev/null
+++ b/tests/gateway/test_feed_server.py
@@ -0,0 +1,62 @@
+"""Test what a VM hands on to its followers, without sockets."""
+
+import asyncio
+import json
+
+from sesamespring.gateway import following
+from sesamespring.gateway.following import FeedServer
+from sesamespring.gateway.replica import TableReplica
+from sesamespring.platform.rows import (
+    FeedQuestion,
+    StoredRow,
+    TableChanges,
+    decode_page,
+)
+
+WHOLE = FeedQuestion("t", None, 0.0)
+
+
+def loaded(*rows):
+    replica = TableReplica("t")
+    replica.replace(TableChanges(rows, max(row.version for row in rows)))
+    return replica
+
+
+def ask(server, question):
+    status, body = asyncio.run(server.answer(question))
+    return status, decode_page(json.loads(body)) if status == 200 else None
+
+
+def test_whole_table_is_encoded_once_for_all_that_start_together(monkeypatch):
+    encoded = []
+    encode_rows = following.encode_rows
+    monkeypatch.setattr(
+        following,
+        "encode_rows",
+        lambda rows: encoded.append(len(rows)) or encode_rows(rows),
+    )
+    replica = loaded(StoredRow("a", 1, b"x"), StoredRow("b", 2, b"y"))
+    server = FeedServer({"t": replica})
+    for _ in range(50):
+        status, page = ask(server, WHOLE)
+        assert (status, len(page.rows), page.version) == (200, 2, 2)
+    assert encoded == [2]
+    replica.apply(TableChanges((StoredRow("a", 3, b"z"),), 3))
+    _, page = ask(server, WHOLE)
+    assert {row.key: row.content for row in page.rows} == {"a": b"z", "b": b"y"}
+
+
+def test_changes_after_a_version_are_told_with_their_age():
+    replica = loaded(StoredRow("a", 1, b"x"))
+    replica.apply(TableChanges((StoredRow("b", 2, b"y"),), 2))
+    server = FeedServer({"t": replica})
+    _, page = ask(server, FeedQuestion("t", 1, 0.0))
+    assert [row.key for row in page.rows] == ["b"]
+    assert page.age_s < 1.0
+
+
+def test_unknown_table_and_lost_history_are_said():
+    replica = TableReplica("t")
+    server = FeedServer({"t": replica})
+    assert ask(server, WHOLE) == (503, None)
+    assert ask(server, FeedQuestion("other", None, 0.0)) == (503, None)
