Bound what a decision costs where many requests wait

Ruled out: missing capacity alone, as refusals were few and answers late by seconds. Change: a queue of more than 32 is judged as a whole every 20 ms, by the tick at the latest; other events plan its first requests only, and nothing while no slot is free. Before: the test of the cost failed.

--- a/sesamespring/routing/queueing.py
+++ b/sesamespring/routing/queueing.py
@@ -6,6 +6,8 @@
 its caller is refused at once.
 """
 
+import heapq
+
 import attrs
 
 from sesamespring.routing.placement import Assignment, assign
@@ -45,11 +47,11 @@
             nothing is refused on a guess.
         judge_all: Whether to estimate also those that cannot be sent now.
     """
-    ordered = sorted(requests, key=_urgency)
     compared = max(COMPARED_LEAST, COMPARISONS_MAX // max(1, len(slots)))
-    hopeful = [r for r in ordered if now_s + usual_s(r) <= r.due_s]
     if not judge_all:
-        hopeful = hopeful[:compared]
+        return _plan_next(requests, slots, usual_s, now_s, compared)
+    ordered = sorted(requests, key=_urgency)
+    hopeful = [r for r in ordered if now_s + usual_s(r) <= r.due_s]
     # Without those that miss their goal even so, the others need not wait for them.
     first = _expect(hopeful, slots, usual_s, now_s, compared)
     in_time = [a.request for a in first if a.end_s <= a.request.due_s]
@@ -57,9 +59,7 @@
         return Plan(tuple(first), ())
     chosen = {request.number for request in in_time}
     late = [r for r in ordered if r.number not in chosen]
-    late.sort(key=lambda r: (r.priority, r.deadline_s))
-    if not judge_all:
-        late = late[:compared]
+    late.sort(key=_lateness)
     assignments = _expect([*in_time, *late], slots, usual_s, now_s, compared)
     unreachable = [
         a
@@ -69,10 +69,28 @@
     return Plan(tuple(assignments), tuple(unreachable))
 
 
+def _plan_next(requests, slots, usual_s, now_s, compared):
+    """Return the Plan for the first requests only, which may be sent now."""
+    hopeful = [r for r in requests if now_s + usual_s(r) <= r.due_s]
+    first = heapq.nsmallest(compared, hopeful, _urgency)
+    assignments = assign(first, slots, usual_s, now_s)
+    in_time = [a.request for a in assignments if a.end_s <= a.request.due_s]
+    if len(in_time) < compared and len(in_time) < len(requests):
+        chosen = {request.number for request in in_time}
+        others = [r for r in requests if r.number not in chosen]
+        late = heapq.nsmallest(compared - len(in_time), others, _lateness)
+        assignments = assign([*in_time, *late], slots, usual_s, now_s)
+    return Plan(tuple(assignments), ())
+
+
 def _urgency(request):
     return (request.priority, request.due_s)
 
 
+def _lateness(request):
+    return (request.priority, request.deadline_s)
+
+
 def _expect(requests, slots, usual_s, now_s, compared):
     """Assign the first requests to slots, and estimate when the others end."""
     assignments = assign(requests[:compared], slots, usual_s, now_s)
--- a/sesamespring/routing/scheduler.py
+++ b/sesamespring/routing/scheduler.py
@@ -1,6 +1,7 @@
 """Schedule one service's requests onto its targets' slots, at the VM that decides."""
 
 import itertools
+import math
 
 from sesamespring.routing.messages import (
     Dispatch,
@@ -27,6 +28,9 @@
 RETRY_AFTER_LEAST_S = 0.05
 RETRY_AFTER_MOST_S = 2.0
 COLD_SHARE = 0.5
+# A longer queue is judged as a whole only so often, as that takes time in proportion.
+JUDGED_AT_ONCE = 32
+JUDGE_INTERVAL_S = 0.02
 
 _FAILURES = frozenset({Outcome.FAILED, Outcome.BROKEN, Outcome.TIMED_OUT})
 
@@ -54,6 +58,7 @@
         self._usual_slowdown = 1.0
         self._foreign = False
         self._vms = 1
+        self._judged_s = -math.inf
 
     @property
     def waiting(self):
@@ -178,7 +183,7 @@
         """
         commands = []
         if self._waiting:
-            self._serve(now_s, commands, judge_all)
+            self._serve(now_s, commands, judge_all and self._is_judge_due(now_s))
         if not self._waiting:
             self._hedge(now_s, commands)
         return commands
@@ -189,14 +194,28 @@
             return False
         return self._budget.allows(now_s, self._vms)
 
+    def _is_judge_due(self, now_s):
+        """Whether all that wait are judged now, and not just the first ones."""
+        age_s = now_s - self._judged_s
+        if len(self._waiting) > JUDGED_AT_ONCE and age_s < JUDGE_INTERVAL_S:
+            return False
+        self._judged_s = now_s
+        return True
+
     def _serve(self, now_s, commands, judge_all):
+        if not judge_all and not self._has_free_slot(now_s):
+            return
         slots = self._slots(now_s)
         if not slots and not any(s.in_service for s in self._states.values()):
             self._refuse_all(now_s, commands)
             return
-        waiting = self._waiting.values()
         plan = make_plan(
-            waiting, slots, self._usual_s, now_s, self._is_known, judge_all
+            self._waiting.values(),
+            slots,
+            self._usual_s_by_route(),
+            now_s,
+            self._is_known,
+            judge_all,
         )
         for assignment in plan.unreachable:
             self._refuse(assignment, now_s, commands)
@@ -322,6 +341,22 @@
             cold_most,
         )
 
+    def _has_free_slot(self, now_s):
+        states = self._states.values()
+        return any(state.free_slots(now_s, self._foreign) > 0 for state in states)
+
+    def _usual_s_by_route(self):
+        """Return ``_usual_s`` for one plan, which asks for many requests of a route."""
+        known = {}
+
+        def usual_s(request):
+            seconds = known.get(request.route)
+            if seconds is None:
+                seconds = known[request.route] = self._usual_s(request)
+            return seconds
+
+        return usual_s
+
     def _is_known(self, request):
         return self._times.is_known(request.route)
 
--- a/tests/routing/test_scheduler.py
+++ b/tests/routing/test_scheduler.py
@@ -214,3 +214,35 @@
         else:
             made.end(ended(command), now_s + 0.05)
     assert failures < 12
+
+
+def test_work_for_a_request_does_not_grow_with_the_queue(monkeypatch):
+    made = scheduler(*[target(f"t{n}", slots=2) for n in range(20)])
+    now_s = teach(made)
+    for number in range(1040):
+        made.submit(request(now_s, goal_s=60.0, timeout_s=90.0), now_s + number / 1e3)
+    now_s += 1.05
+    asked = []
+    usual_s = made._times.usual_s
+    monkeypatch.setattr(
+        made._times, "usual_s", lambda *known: asked.append(1) or usual_s(*known)
+    )
+    for number in range(100):
+        at_s = now_s + number / 1e4
+        made.submit(request(now_s, goal_s=60.0, timeout_s=90.0), at_s)
+    assert made.waiting == 1100
+    assert len(asked) < 3000
+
+
+def test_long_queue_is_judged_as_a_whole_within_a_tick():
+    made = scheduler(target("a", slots=1))
+    now_s = teach(made)
+    patient = 40
+    for _ in range(patient):
+        made.submit(request(now_s, goal_s=60.0, timeout_s=90.0), now_s)
+    for _ in range(200):
+        made.submit(request(now_s, timeout_s=3.0, priority=2), now_s)
+    assert made.waiting > 200
+    made.advance(now_s + 0.025)
+    # No more than one slot can serve in that time.
+    assert made.waiting <= patient + 3.0 / 0.05
