Let the soak's checks on leaving targets and closed data centres be reached

Targets ended too soon after they had said that they leave, data centres came back before the bound, and all VMs had to be calm. Change: both last longer than their bound, and only the store and the VM that took the request must be calm, which is stricter.

--- a/soak/estate.py
+++ b/soak/estate.py
@@ -14,7 +14,7 @@
 from standins.platform_target import PlatformTarget
 from standins.store import StoreStandIn
 
-__all__ = ["HOST", "Estate", "SoakTarget"]
+__all__ = ["HOST", "Closure", "Estate", "SoakTarget"]
 
 HOST = "soak.example"
 DATA_CENTRES = ("dc-a", "dc-b", "dc-c")
@@ -75,6 +75,21 @@
         return self.server.id
 
 
+@attrs.define(eq=False)
+class Closure:
+    """A data centre that is out of service for a while.
+
+    Attributes:
+        data_centre: Its name.
+        since_s: Time at which the store took that in.
+        until_s: Time at which it came back.
+    """
+
+    data_centre: str
+    since_s: float
+    until_s: float = float("inf")
+
+
 class Estate:
     """Everything that a soak runs; use as an asynchronous context manager.
 
@@ -90,7 +105,7 @@
         store_links: Dict of the Link between a VM and the store by the VM's name.
         targets: List of all SoakTargets that ever were.
         configurations: List of pairs of version and time of its acknowledgement.
-        closed: Dict of the time of its closing by name of a closed data centre.
+        closures: List of Closure, also of those that are over.
     """
 
     def __init__(self, vms, folder):
@@ -103,7 +118,7 @@
         self.store_links = {}
         self.targets = []
         self.configurations = []
-        self.closed = {}
+        self.closures = []
         self._numbers = itertools.count(1)
         self._stack = contextlib.AsyncExitStack()
         self._heartbeats = {}
@@ -174,14 +189,16 @@
         return version
 
     async def close_data_centre(self, name):
-        """Take a data centre out of service."""
+        """Take a data centre out of service and return the Closure."""
         await self.store.put("op", f"evacuate/{name}", {})
-        self.closed[name] = asyncio.get_running_loop().time()
+        closure = Closure(name, asyncio.get_running_loop().time())
+        self.closures.append(closure)
+        return closure
 
-    async def open_data_centre(self, name):
+    async def open_data_centre(self, closure):
         """Take a data centre back."""
-        self.closed.pop(name)
-        await self.store.drop("op", f"evacuate/{name}")
+        closure.until_s = asyncio.get_running_loop().time()
+        await self.store.drop("op", f"evacuate/{closure.data_centre}")
 
     async def start_target(self, service, place, cold_s=0.0):
         """Start a target at the address of a place, and register it."""
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 import signal
 
 from soak.estate import COLD_S, DATA_CENTRES, SERVICES
@@ -27,6 +28,9 @@
 GARBLED_SHARE = 0.1
 SERIES_MAX = 3
 GAP_S = 0.4
+# A leaving target serves on past the time in which it must get nothing more.
+LEAVING_SERVES_S = 4.0
+CLOSED_LASTS_S = 6.0
 
 
 class Faults:
@@ -88,7 +92,6 @@
         """Tell all VMs that their settings may have changed."""
         for vm in self._estate.vms:
             vm.send(signal.SIGHUP)
-        await asyncio.sleep(0)
 
     async def spoil_callers_link(self, for_s):
         """Spoil the connections between callers and a VM."""
@@ -131,7 +134,6 @@
         """Let the store forget what has changed."""
         with self._estate.note_store("history lost"):
             self._estate.store.forget_history()
-            await asyncio.sleep(0)
 
     async def crash_target(self, for_s):
         """End a target at once; another one starts cold at its address."""
@@ -148,7 +150,7 @@
         target = self._living_target()
         with self._estate.note(target.name, "leaving"):
             await self._estate.say_leaving(target)
-            await asyncio.sleep(max(for_s, 3.0))
+            await asyncio.sleep(LEAVING_SERVES_S + for_s)
             self._estate.end_target(target)
             await self._estate.remove_registration(target)
             await self._estate.start_target(target.service, target.place, COLD_S)
@@ -186,13 +188,12 @@
 
     async def close_data_centre(self, for_s):
         """Take a data centre out of service for a while."""
-        free = [name for name in DATA_CENTRES if name not in self._estate.closed]
-        if len(free) < len(DATA_CENTRES):
+        if any(c.until_s == math.inf for c in self._estate.closures):
             return
-        name = self._random.choice(free)
-        await self._estate.close_data_centre(name)
-        await asyncio.sleep(for_s)
-        await self._estate.open_data_centre(name)
+        name = self._random.choice(DATA_CENTRES)
+        closure = await self._estate.close_data_centre(name)
+        await asyncio.sleep(CLOSED_LASTS_S + for_s)
+        await self._estate.open_data_centre(closure)
 
     async def forge_registrations(self, for_s):
         """Write rows among the registrations that name no target."""
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -51,8 +51,9 @@
         _unanswered,
     ):
         breaches += check(estate, load.calls, runs)
-    breaches += _sent_to_leaving(estate)
-    breaches += _sent_to_closed(estate)
+    vms = {call.request_id: call.vm for call in load.calls}
+    breaches += _sent_to_leaving(estate, vms)
+    breaches += _sent_to_closed(estate, vms)
     breaches += _overrun_cold(estate)
     breaches += _extra_attempts(estate, load.calls)
     breaches += _configuration(estate, load.calls)
@@ -134,7 +135,13 @@
     return breaches
 
 
-def _sent_to_leaving(estate):
+def _sent_to_leaving(estate, vms):
+    """Requests at targets that had said that they leave.
+
+    Args:
+        estate: The Estate.
+        vms: Dict by request id of the name of the VM that took it.
+    """
     breaches = []
     for target in estate.targets:
         since_s = target.leaving_since_s
@@ -142,21 +149,25 @@
             continue
         for arrival in target.server.arrivals:
             late = arrival.at_s > since_s + LEAVING_BOUND_S
-            if late and _all_calm(estate, since_s, arrival.at_s):
+            vm = vms[arrival.request_id]
+            if late and _in_touch(estate, vm, since_s, arrival.at_s):
                 breaches.append(Breach("leaving", f"{arrival} at {target.name}"))
     return breaches
 
 
-def _sent_to_closed(estate):
+def _sent_to_closed(estate, vms):
+    """Requests in closed data centres; see ``_sent_to_leaving``."""
     breaches = []
-    for name, since_s in estate.closed.items():
+    for closure in estate.closures:
+        first_s = closure.since_s + CLOSED_BOUND_S
         for target in estate.targets:
-            if target.data_centre != name:
+            if target.data_centre != closure.data_centre:
                 continue
             for arrival in target.server.arrivals:
-                late = arrival.at_s > since_s + CLOSED_BOUND_S
-                if late and _all_calm(estate, since_s, arrival.at_s):
-                    detail = f"{arrival} at {target.name} of {name}"
+                late = first_s < arrival.at_s < closure.until_s
+                vm = vms[arrival.request_id]
+                if late and _in_touch(estate, vm, closure.since_s, arrival.at_s):
+                    detail = f"{arrival} at {target.name} of {target.data_centre}"
                     breaches.append(Breach("closed-data-centre", detail))
     return breaches
 
@@ -216,15 +227,15 @@
             breaches.append(Breach("never-reverts", f"{call}"))
         late = call.sent_s > acknowledged[version] + CONFIGURATION_BOUND_S
         span = (acknowledged[version], call.ended_s)
-        if late and _all_calm(estate, *span):
+        if late and _in_touch(estate, call.vm, *span):
             breaches.append(Breach("in-force", f"{call}"))
     return breaches
 
 
-def _all_calm(estate, from_s, to_s):
-    """Whether the store and all VMs were calm for a while before and in a span."""
-    parts = [STORE, *(vm.name for vm in estate.vms)]
-    return all(estate.disturbances.is_calm(part, from_s, to_s) for part in parts)
+def _in_touch(estate, vm, from_s, to_s):
+    """Whether the store and a VM were calm for a while before and in a span."""
+    disturbances = estate.disturbances
+    return all(disturbances.is_calm(part, from_s, to_s) for part in (STORE, vm))
 
 
 def _most_within(times, window_s):
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -5,6 +5,7 @@
 import pytest
 
 from soak.disturbances import STORE, Disturbances
+from soak.estate import Closure
 from soak.load import Call
 from soak.promises import check_promises, check_recovery
 from standins.platform_target import Arrival
@@ -29,7 +30,7 @@
         "vms": [types.SimpleNamespace(name="vm-0")],
         "disturbances": Disturbances(),
         "configurations": [(1, 0.0)],
-        "closed": {},
+        "closures": [],
     }
     return types.SimpleNamespace(**{**usual, **fields})
 
@@ -102,22 +103,27 @@
 
 def test_sees_work_in_a_closed_data_centre():
     place = ran(target())
-    assert "closed-data-centre" in promises(estate(place, closed={"dc-a": 4.0}))
-    assert promises(estate(place, closed={"dc-a": 6.0})) == set()
+    seen = estate(place, closures=[Closure("dc-a", 4.0)])
+    assert "closed-data-centre" in promises(seen, call())
+    for over in (Closure("dc-a", 6.0), Closure("dc-a", 4.0, 10.0)):
+        assert promises(estate(place, closures=[over]), call()) == set()
+    seen.disturbances.begin("vm-0", "killed").start_s = 9.0
+    assert promises(seen, call()) == set()
 
 
 def test_sees_a_cold_target_overrun():
     place = target(cold_until_s=12.0)
     for number in range(16):
         ran(place, f"r{number}", 10 + number / 20)
-    assert "cold" in promises(estate(place))
+    calls = [call(f"r{number}", status=None) for number in range(16)]
+    assert "cold" in promises(estate(place), *calls)
 
 
 def test_sees_too_many_extra_attempts():
     place = target()
     for number in range(58):
         ran(place, "r1", 10 + number / 20, accepted=False)
-    assert "retry-budget" in promises(estate(place))
+    assert "retry-budget" in promises(estate(place), call(status=503))
 
 
 def test_sees_a_configuration_that_is_late_or_reverts():
