Free lent slots whose end was not heard, and number requests anew in each process

And a VM that started again numbered its requests from 1, so a decider answered them with what it had told the earlier process. Change: an end is said again after 0.1 and 0.5 s; slots of a VM that falls silent are free; numbers start from the incarnation.

--- a/sesamespring/gateway/daemon.py
+++ b/sesamespring/gateway/daemon.py
@@ -104,7 +104,8 @@
         self._slots = Slots(
             self._services, self._peers, self._estate, self._counters, self._log
         )
-        SlotLender(self._services, self._peers).listen()
+        self._lender = SlotLender(self._services, self._peers)
+        self._lender.listen()
         checks_per_s = settings.bounds.probes_per_s
         self._prober = Prober(self._services, self._counters, checks_per_s)
         self._context = GatewayContext(
@@ -229,6 +230,7 @@
 
     def _peers_changed(self):
         self._services.update()
+        self._lender.keep_only({m.address for m in self._peers.alive.values()})
 
     async def _keep_house(self):
         while True:
--- a/sesamespring/gateway/lending.py
+++ b/sesamespring/gateway/lending.py
@@ -66,6 +66,16 @@
         self._peers.on_message(SlotEnded, self._ended)
         self._peers.on_message(SlotWithdrawn, self._withdrawn)
 
+    def keep_only(self, addresses):
+        """Take back what VMs hold that are not at one of some addresses any more.
+
+        Args:
+            addresses: Set of the addresses of the VMs that are alive.
+        """
+        lost = [b for b in self._borrowed.values() if b.address not in addresses]
+        for borrowed in lost:
+            self._expire(borrowed)
+
     def _wanted(self, message, address):
         key = (address, message.request)
         borrowed = self._borrowed.get(key)
@@ -159,7 +169,8 @@
             self._services.runner(borrowed.service).withdraw(borrowed.request)
 
     def _expire(self, borrowed):
-        self._borrowed.pop((borrowed.address, borrowed.number), None)
+        if self._borrowed.pop((borrowed.address, borrowed.number), None) is None:
+            return
         runner = self._services.runner(borrowed.service)
         runner.withdraw(borrowed.request)
         for attempt in tuple(borrowed.request.attempts):
--- a/sesamespring/gateway/slots.py
+++ b/sesamespring/gateway/slots.py
@@ -34,6 +34,10 @@
 # While its request waits in the other VM's queue, it asks again in case word was lost.
 QUEUED_CHECK_S = 0.1
 DISTRUST_S = 1.0
+REQUESTS_PER_MS_MAX = 1_000_000
+# A lost end would keep the slot taken until the request's deadline, so it is said
+# again after each of these times.
+REPEAT_END_S = (0.1, 0.4)
 
 
 @attrs.frozen
@@ -96,7 +100,8 @@
         self._counters = counters
         self._log = log
         self._loop = asyncio.get_running_loop()
-        self._numbers = itertools.count(1)
+        # Other VMs may still remember requests of an earlier process at this address.
+        self._numbers = itertools.count(peers.incarnation * REQUESTS_PER_MS_MAX + 1)
         # This VM's own schedulers number their attempts upwards.
         self._attempts = itertools.count(-1, -1)
         self._tickets = {}
@@ -305,6 +310,10 @@
             message.slots = load.slots
             message.slowdown = load.slowdown
         self._peers.send(message, grant.address)
+        after_s = 0.0
+        for pause_s in REPEAT_END_S:
+            after_s += pause_s
+            self._loop.call_later(after_s, self._peers.send, message, grant.address)
 
     def _cancel_timer(self, ticket):
         if ticket.timer is not None:
--- a/tests/gateway/test_slots.py
+++ b/tests/gateway/test_slots.py
@@ -4,7 +4,12 @@
 import types
 
 from sesamespring.gateway.generated.ttypes import SlotEnded, SlotGranted, SlotWanted
-from sesamespring.gateway.slots import ASKED_MAX, FIRST_ANSWER_S, Slots
+from sesamespring.gateway.slots import (
+    ASKED_MAX,
+    FIRST_ANSWER_S,
+    REPEAT_END_S,
+    Slots,
+)
 from sesamespring.routing.messages import (
     AttemptEnd,
     Dispatch,
@@ -22,7 +27,8 @@
 
     alive = {DECIDER.name: DECIDER}
 
-    def __init__(self):
+    def __init__(self, incarnation=1):
+        self.incarnation = incarnation
         self.sent = []
         self.handlers = {}
 
@@ -58,11 +64,11 @@
         pass
 
 
-def play(scenario):
+def play(scenario, incarnation=1):
     """Run ``scenario(slots, peers, runner)`` with a Slots whose decider is remote."""
 
     async def whole():
-        peers, runner = Peers(), Runner()
+        peers, runner = Peers(incarnation), Runner()
         services = types.SimpleNamespace(
             runner=lambda service: runner,
             decider=lambda service: DECIDER.name,
@@ -135,3 +141,31 @@
         assert len({dispatch.attempt for dispatch in dispatched}) == 2
 
     play(scenario)
+
+
+def test_end_of_an_attempt_is_said_again_as_word_may_get_lost():
+    async def scenario(slots, peers, runner):
+        dispatched = []
+        ticket = slots.submit("s", request(), dispatched.append)
+        grant(peers)
+        (granted,) = dispatched
+        slots.end(ticket, AttemptEnd(granted.attempt, Outcome.ANSWERED, 0.1))
+        slots.withdraw(ticket)
+        await asyncio.sleep(sum(REPEAT_END_S) + 0.05)
+        ends = [m for m in peers.sent if isinstance(m, SlotEnded)]
+        assert len(ends) == 1 + len(REPEAT_END_S)
+        assert {(end.request, end.attempt) for end in ends} == {(ticket.number, 1)}
+
+    play(scenario)
+
+
+def test_process_that_starts_again_uses_no_number_of_the_earlier_one():
+    numbers = []
+
+    async def scenario(slots, peers, runner):
+        for _ in range(3):
+            numbers.append(slots.submit("s", request(), lambda command: None).number)
+
+    for incarnation in (1_771_091_893_025, 1_771_091_893_026):
+        play(scenario, incarnation)
+    assert len(set(numbers)) == 6
