--- a/sesamespring/gateway/__main__.py
+++ b/sesamespring/gateway/__main__.py
@@ -6,17 +6,21 @@
 """
 
 import os
+import signal
 import sys
 
-from sesamespring.errors import UserError
-from sesamespring.gateway.daemon import run_gateway
-from sesamespring.platform.settings import SETTINGS_VARIABLE
-
 EXIT_USER_ERROR = 2
 
 
+def ignore_reload():
+    """Ignore SIGHUP, which would end a process that has no handler for it yet."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+
 def _metrics_port(arguments):
     """Return the port in ``--metrics-port PORT``, or None without arguments."""
+    from sesamespring.errors import UserError
+
     match arguments:
         case []:
             return None
@@ -25,8 +29,12 @@
     raise UserError("usage: python -m sesamespring.gateway [--metrics-port PORT]")
 
 
-def main():
-    """Run the daemon."""
+def _run():
+    # Loading these takes longer than anything else at a start.
+    from sesamespring.errors import UserError
+    from sesamespring.gateway.daemon import run_gateway
+    from sesamespring.platform.settings import SETTINGS_VARIABLE
+
     path = os.environ.get(SETTINGS_VARIABLE)
     try:
         if path is None:
@@ -38,5 +46,11 @@
         sys.exit(EXIT_USER_ERROR)
 
 
+def main():
+    """Run the daemon."""
+    ignore_reload()
+    _run()
+
+
 if __name__ == "__main__":
     main()
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -9,7 +9,7 @@
 from soak.estate import Estate
 from soak.faults import Faults
 from soak.load import Load
-from soak.promises import check_promises, check_recovery
+from soak.promises import Breach, check_promises, check_recovery
 from soak.schedule import make_schedule
 
 __all__ = ["SoakResult", "run_soak"]
@@ -80,11 +80,18 @@
     faults = Faults(estate, random.Random(seed))
     started_s = time.monotonic()
     breaches = []
-    async with asyncio.timeout(seconds + FAULTS_END_TIMEOUT_S):
-        async with asyncio.TaskGroup() as group:
+    try:
+        async with (
+            asyncio.timeout(seconds + FAULTS_END_TIMEOUT_S),
+            asyncio.TaskGroup() as group,
+        ):
             for planned in make_schedule(seed, seconds):
                 while (left_s := started_s + planned.at_s - time.monotonic()) > 0:
                     await asyncio.sleep(min(left_s, CHECK_INTERVAL_S))
                     breaches += check_promises(estate, load)
                 group.create_task(getattr(faults, planned.name)(planned.for_s))
+    except TimeoutError:
+        ended = [vm.name for vm in estate.vms if not vm.running]
+        detail = f"a VM is not ready again; without a process: {ended}"
+        breaches.append(Breach("comes-back", detail))
     return breaches
