--- a/sesamespring/resources/changes.py
+++ b/sesamespring/resources/changes.py
@@ -27,7 +27,14 @@
     read_records,
 )
 
-__all__ = ["Accepted", "Change", "Refused", "apply_change", "plan_change"]
+__all__ = [
+    "CHANGE_RESOURCES_MAX",
+    "Accepted",
+    "Change",
+    "Refused",
+    "apply_change",
+    "plan_change",
+]
 
 IDENTITY_PREFIX = "config/identity/"
 SETTLE_TRIES = 8
--- a/standins/estate.py
+++ b/standins/estate.py
@@ -16,6 +16,7 @@
 from sesamespring.errors import OutsideError
 from sesamespring.http import fetch, json_body
 from sesamespring.resources import parse_resources
+from sesamespring.resources.changes import CHANGE_RESOURCES_MAX
 
 __all__ = ["Estate", "EntryVm"]
 
@@ -219,6 +220,17 @@
         }
         return await self.operator_call(vm, "POST", "changes", change)
 
+    async def apply_in_parts(self, content, *, reason):
+        """Apply resource text of any length; return the last status and answer."""
+        sections = [f"[{part}" for part in content.split("[")[1:]]
+        status, answer = None, None
+        for first in range(0, len(sections), CHANGE_RESOURCES_MAX):
+            part = "".join(sections[first : first + CHANGE_RESOURCES_MAX])
+            status, answer = await self.apply(part, reason=reason)
+            if status != 200:
+                break
+        return status, answer
+
     async def operator_call(self, vm, method, path, value=None):
         """Make an operator's call; return status and JSON answer."""
         response = await fetch(
--- a/tests/resources/test_changes.py
+++ b/tests/resources/test_changes.py
@@ -13,7 +13,11 @@
     read_audit,
     record_refusal,
 )
-from sesamespring.resources.changes import Change, apply_change
+from sesamespring.resources.changes import (
+    CHANGE_RESOURCES_MAX,
+    Change,
+    apply_change,
+)
 from sesamespring.resources.kinds import DataCentre, Resources
 from sesamespring.resources.parser import Removal
 from sesamespring.resources.records import AuditRecord
@@ -209,3 +213,16 @@
         assert await copy_day(operators.table, operators.now_s) == 1
 
     run(scenario)
+
+
+def test_change_of_more_than_one_call_takes_is_refused_whole():
+    async def scenario(operators, store):
+        names = range(CHANGE_RESOURCES_MAX + 1)
+        text = "".join(f"[service s{number}]\n" for number in names)
+        refused = (await operators.apply(text)).failure()
+        assert refused.kind is ErrorKind.INVALID_RESOURCES
+        assert "at most 95 in one change" in refused.lines[0]
+        text = "".join(f"[service s{number}]\n" for number in names[1:])
+        assert (await operators.apply(text)).unwrap().version == 1
+
+    run(scenario)
