--- a/tests/gateway/test_slots.py
+++ b/tests/gateway/test_slots.py
@@ -113,13 +113,19 @@
     )
 
 
+async def granted_and_then_decided_here(slots, peers):
+    """Return a Ticket with an attempt of the decider, then silent, and one of here."""
+    dispatched = []
+    ticket = slots.submit("s", request(), dispatched.append)
+    grant(peers)
+    slots.resubmit(ticket)
+    await asyncio.sleep(SILENCE_S)
+    return ticket, dispatched
+
+
 def test_attempt_of_a_decider_that_fell_silent_is_still_given_back():
     async def scenario(slots, peers, runner):
-        dispatched = []
-        ticket = slots.submit("s", request(), dispatched.append)
-        grant(peers)
-        slots.resubmit(ticket)
-        await asyncio.sleep(SILENCE_S)
+        ticket, dispatched = await granted_and_then_decided_here(slots, peers)
         granted, own = dispatched
         slots.end(ticket, AttemptEnd(granted.attempt, Outcome.ANSWERED, 0.1))
         (ended,) = [m for m in peers.sent if isinstance(m, SlotEnded)]
@@ -133,11 +139,7 @@
 
 def test_attempts_of_two_deciders_have_different_numbers():
     async def scenario(slots, peers, runner):
-        dispatched = []
-        ticket = slots.submit("s", request(), dispatched.append)
-        grant(peers)
-        slots.resubmit(ticket)
-        await asyncio.sleep(SILENCE_S)
+        _, dispatched = await granted_and_then_decided_here(slots, peers)
         assert len({dispatch.attempt for dispatch in dispatched}) == 2
 
     play(scenario)
