Look for overdue attempts once a tick, and at the slots once for all of them

After each event without a queue it looked for attempts to rescue, and worked out all 258 slots anew for each overdue one, of which there are dozens where targets are noisy. Change: only the tick, every 25 ms, looks for overdue attempts; the free slots are worked out once for all of them. Before: the new test failed. After: tests of routing and gateway pass.

--- a/sesamespring/routing/scheduler.py
+++ b/sesamespring/routing/scheduler.py
@@ -153,7 +153,7 @@
             if not request.counted:
                 self._budget.earn(now_s)
         self._waiting[request.number] = request
-        return self.advance(now_s)
+        return self._serve_waiting(now_s, True)
 
     def withdraw(self, request):
         """Forget a request; its attempts in progress still end by ``end``."""
@@ -172,9 +172,16 @@
             self._departed.pop(state.entry.key, None)
         self._learn(request, state, work, end, now_s)
         self.report(state.entry.key, end.load, end.cold_left_s, now_s)
-        return self.advance(now_s, judge_all=False)
+        return self._serve_waiting(now_s, False)
 
-    def advance(self, now_s, judge_all=True):
+    def advance(self, now_s):
+        """Do what time alone lets be done, and return the commands."""
+        commands = self._serve_waiting(now_s, True)
+        if not self._waiting:
+            self._hedge(now_s, commands)
+        return commands
+
+    def _serve_waiting(self, now_s, judge_all):
         """Serve what can be served now and return the commands.
 
         Args:
@@ -184,8 +191,6 @@
         commands = []
         if self._waiting:
             self._serve(now_s, commands, judge_all and self._is_judge_due(now_s))
-        if not self._waiting:
-            self._hedge(now_s, commands)
         return commands
 
     def may_retry(self, request, now_s):
@@ -282,6 +287,7 @@
 
         Load that it answers: slots are free, but targets turn slow under the work.
         """
+        free = None
         for attempt, (request, state) in tuple(self._attempts.items()):
             work = state.work[attempt]
             if not self._may_hedge(request):
@@ -289,7 +295,9 @@
             elapsed_s = now_s - work.sent_s
             if elapsed_s < RESCUE_FACTOR * work.expected_s:
                 continue
-            slot = self._hedge_slot(request, now_s)
+            if free is None:
+                free = [slot for slot in self._slots(now_s) if slot.free_s <= now_s]
+            slot = self._hedge_slot(request, free, now_s)
             if slot is None:
                 continue
             hopeless = elapsed_s > max(HEDGE_LEAST_S, HEDGE_FACTOR * work.expected_s)
@@ -298,6 +306,7 @@
             if not self._budget.spend(now_s, self._vms):
                 return
             commands.append(self._dispatch(request, slot, now_s, True))
+            free.remove(slot)
 
     def _may_hedge(self, request):
         if not request.idempotent or request.attempts_left <= 0:
@@ -313,18 +322,14 @@
             return False
         return end_s + RESCUE_MARGIN * (end_s - now_s) > request.due_s
 
-    def _hedge_slot(self, request, now_s):
-        free = [
-            slot
-            for slot in self._slots(now_s)
-            if slot.free_s <= now_s and slot.state.entry.key not in request.tried
-        ]
+    def _hedge_slot(self, request, free, now_s):
+        untried = [slot for slot in free if slot.key not in request.tried]
         usual_s = self._usual_s(request)
 
         def end_s(slot):
             return slot.end_s(usual_s, now_s, request.data_centre)
 
-        slot = min(free, key=end_s, default=None)
+        slot = min(untried, key=end_s, default=None)
         if slot is None or end_s(slot) > request.deadline_s:
             return None
         return slot
--- a/tests/routing/test_scheduler.py
+++ b/tests/routing/test_scheduler.py
@@ -246,3 +246,18 @@
     made.advance(now_s + 0.025)
     # No more than one slot can serve in that time.
     assert made.waiting <= patient + 3.0 / 0.05
+
+
+def test_looking_for_overdue_attempts_costs_one_look_at_the_slots(monkeypatch):
+    made = scheduler(*[target(f"t{n}", slots=2) for n in range(20)], retry_slack=0.0)
+    now_s = teach(made)
+    for _ in range(15):
+        made.submit(request(now_s, goal_s=60.0, timeout_s=90.0), now_s)
+    looks = []
+    slots = made._slots
+    monkeypatch.setattr(made, "_slots", lambda at_s: looks.append(at_s) or slots(at_s))
+    made.advance(now_s + 1.0)
+    assert len(looks) <= 1
+    (command,) = made.submit(request(now_s, timeout_s=90.0), now_s + 1.01)
+    made.end(ended(command), now_s + 1.06)
+    assert len(looks) <= 3
