Reproduce RECOVER: a store that comes back from a copy, in the stand-in

The fake store states its era, can be copied and restored, and answers 410 to a feed from a version that it does not have. The fake target can state that it is leaving, a limit and a Retry-After, and respond without end.

Ruled out here: responses without end cost no other request (new test, passes on this code).

--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -10,6 +10,8 @@
 
 # Delay between an early response and reading the rest of the request body.
 EARLY_BODY_DELAY_S = 0.1
+ENDLESS_PART = b"x" * 16_384
+ENDLESS_PAUSE_S = 0.005
 
 
 @attrs.frozen
@@ -61,7 +63,8 @@
         choose_fault: Function that is called with the ReceivedRequest and returns the
             fault to inject into its response, or None for a correct response:
             ``reset``, ``truncate``, ``unsigned``, ``fail``, ``unframed``, ``extra``,
-            ``other-id``, ``early``, ``silent`` or ``close``.
+            ``other-id``, ``early``, ``silent``, ``close``, ``endless-head`` or
+            ``endless-body``.
         received: List of ReceivedRequest that it has started to run.
         arrivals: List of Arrival of all requests but health checks and those that
             expected another target.
@@ -72,6 +75,13 @@
         cold_left_ms: Remaining time of its cold start that its health check reports,
             in ms; 0 when it is warm.
         slowdown: Slowdown that it reports in its load header, in percent.
+        leaving: Whether it states in each response that it is leaving.
+        limit_per_s: Limit on requests per second that it states in each response, as
+            the text of a decimal number, or None.
+        busy_s: If not None, it rejects each request with 503 and states that it wants
+            none for so many seconds.
+        health_checks: Number of health checks that it received.
+        endless: Whether its health checks get bytes without end.
     """
 
     def __init__(self, target_id, service_time_s=0.01, slots=2):
@@ -87,6 +97,11 @@
         self.connections = 0
         self.cold_left_ms = 0
         self.slowdown = 100
+        self.leaving = False
+        self.limit_per_s = None
+        self.busy_s = None
+        self.health_checks = 0
+        self.endless = False
         self._running = 0
         self._server = None
         self._writers = set()
@@ -120,6 +135,9 @@
         method, target, _ = lines[0].split(" ")
         request_headers = dict(_parse_field(line) for line in lines[1:] if line)
         if target == "/health":
+            self.health_checks += 1
+            if self.endless:
+                return await self._write_endlessly(writer, b"noise ")
             headers = {"Sesamespring-Instance-Id": self.id}
             if self.cold_left_ms:
                 headers["Sesamespring-Warmup-Ms"] = str(self.cold_left_ms)
@@ -129,7 +147,7 @@
             headers = {"Sesamespring-Instance-Id": self.id}
             return await self._send(writer, 421, b"", headers)
         request_id = request_headers["sesamespring-request-id"]
-        accepted = self._running < self.slots
+        accepted = self._running < self.slots and self.busy_s is None
         self.arrivals.append(Arrival(time.monotonic(), request_id, accepted))
         if not accepted:
             self.overrun += 1
@@ -138,6 +156,8 @@
                 "Sesamespring-Not-Executed": "1",
                 "Sesamespring-Request-Id": request_id,
             }
+            if self.busy_s is not None:
+                headers["Retry-After"] = str(self.busy_s)
             return await self._send(writer, 503, b"", headers)
         return await self._run(
             reader, writer, method, target, request_headers, request_id
@@ -189,6 +209,13 @@
             return False
         if fault == "silent":
             await asyncio.sleep(3600)
+        if fault == "endless-head":
+            return await self._write_endlessly(writer, b"HTTP/1.1 200 X\r\nX: ")
+        if fault == "endless-body":
+            lines = ["HTTP/1.1 200 X", *(f"{k}: {v}" for k, v in signature.items())]
+            return await self._write_endlessly(
+                writer, "\r\n".join(lines).encode() + b"\r\n\r\n"
+            )
         if fault == "truncate":
             headers = {**signature, "Content-Length": str(len(body) + 10)}
             await self._write(writer, 200, body, headers)
@@ -214,6 +241,14 @@
             await self._send(writer, 200, b"extra", signature)
         return True
 
+    async def _write_endlessly(self, writer, start):
+        """Write bytes after ``start`` until the client closes the connection."""
+        writer.write(start)
+        while True:
+            writer.write(ENDLESS_PART)
+            await writer.drain()
+            await asyncio.sleep(ENDLESS_PAUSE_S)
+
     def _signature_headers(self, request_id):
         return {
             "Sesamespring-Request-Id": request_id,
@@ -228,6 +263,10 @@
             "Keep-Alive": "timeout=10",
             **headers,
         }
+        if self.leaving:
+            all_headers["Server-Leaving"] = "1"
+        if self.limit_per_s is not None:
+            all_headers["Server-Limit"] = self.limit_per_s
         await self._write(writer, status, body, all_headers)
         return True
 
--- a/standins/store.py
+++ b/standins/store.py
@@ -1,7 +1,8 @@
 """Fake of the platform's store: tables, change feeds and objects, with faults.
 
 Rows and objects are kept in memory. A transaction increments the version of the whole
-store, and each row has the version of its last write.
+store, and each row has the version of its last write. A store that is restored from a
+copy loses what was written since and issues the same versions again, in the next era.
 """
 
 import asyncio
@@ -13,7 +14,7 @@
 
 import attrs
 
-__all__ = ["StoreCall", "StoreFaults", "FakeStore"]
+__all__ = ["FakeStore", "StoreCall", "StoreCopy", "StoreFaults"]
 
 RESERVED_TABLES = ("op", "servers")
 ENTRIES_MAX = 100
@@ -44,6 +45,21 @@
     delay_s: float = 0.0
 
 
+@attrs.frozen
+class StoreCopy:
+    """A copy of the store's rows, from which it can be restored.
+
+    Attributes:
+        rows: Dict of the pair of encoded value and version by pair of table and key.
+        change_log: List of the changes up to then.
+        version: Version of the store.
+    """
+
+    rows: dict
+    change_log: list
+    version: int
+
+
 @attrs.frozen
 class StoreCall:
     """A call that reached the store.
@@ -65,11 +81,13 @@
     Attributes:
         faults: The StoreFaults.
         calls: List of StoreCall, in order of arrival.
+        era: Number that each response states; it grows when the store is restored.
     """
 
     def __init__(self):
         self.faults = StoreFaults()
         self.calls = []
+        self.era = 1
         self._rows = {}
         self._change_log = []
         self._version = 0
@@ -88,8 +106,7 @@
         """Stop listening and abort all connections."""
         for server in self._servers:
             server.close()
-        for writer in self._writers:
-            writer.transport.abort()
+        self.disconnect()
 
     async def put(self, table, key, value):
         """Write a row with ``value`` as JSON, bypassing faults and reserved tables."""
@@ -109,6 +126,25 @@
         self._oldest_version = self._version
         self._change_log.clear()
 
+    def copy(self):
+        """Return a StoreCopy of the present rows."""
+        return StoreCopy(dict(self._rows), list(self._change_log), self._version)
+
+    async def restore(self, copy):
+        """Go back to a StoreCopy: later writes are lost and their versions reused."""
+        async with self._change_condition:
+            self._rows = dict(copy.rows)
+            self._change_log = list(copy.change_log)
+            self._version = copy.version
+            self.era += 1
+            self._change_condition.notify_all()
+        self.disconnect()
+
+    def disconnect(self):
+        """Abort all connections."""
+        for writer in tuple(self._writers):
+            writer.transport.abort()
+
     @property
     def objects(self):
         """Dict of the objects' bytes by key."""
@@ -173,8 +209,12 @@
         body = (
             response if isinstance(response, bytes) else json.dumps(response).encode()
         )
-        head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n\r\n"
-        writer.write(head.encode() + body)
+        lines = [
+            f"HTTP/1.1 {status} X",
+            f"Content-Length: {len(body)}",
+            f"Store-Era: {self.era}",
+        ]
+        writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
         await writer.drain()
         return True
 
@@ -230,7 +270,7 @@
 
     async def _feed(self, query):
         table, after = query["table"], int(query["after"])
-        if after < self._oldest_version:
+        if not self._knows(after):
             return 410, {}
         with contextlib.suppress(TimeoutError):
             async with (
@@ -240,10 +280,14 @@
                 await self._change_condition.wait_for(
                     lambda: self._changes(table, after)
                 )
-        if after < self._oldest_version:
+        if not self._knows(after):
             return 410, {}
         return 200, {"rows": self._changes(table, after), "ver": self._version}
 
+    def _knows(self, version):
+        """Whether the changes after a version can be listed."""
+        return self._oldest_version <= version <= self._version
+
     def _changes(self, table, after):
         newest = {}
         for version, name, key, value in self._change_log:
--- a/tests/gateway/cluster.py
+++ b/tests/gateway/cluster.py
@@ -86,14 +86,16 @@
         targets: Number of targets.
         work_s: Seconds that a target takes for a request.
         slots: Slots of each target.
+        seeds: Whether VMs know some others' addresses from their settings.
     """
 
-    def __init__(self, vms=1, targets=2, work_s=0.01, slots=2):
+    def __init__(self, vms=1, targets=2, work_s=0.01, slots=2, seeds=True):
         self.store = FakeStore()
         self.targets = [
             PlatformTarget(f"t{number}", work_s, slots) for number in range(targets)
         ]
         network = next(_networks)
+        self._seeds = seeds
         self.ips = [f"127.0.{network}.{number + 1}" for number in range(vms)]
         # Each VM has its own address of the store, so that a test can cut off one VM.
         self._store_host = f"127.0.{network}.2"
@@ -161,7 +163,9 @@
             ready_address=(ip, READY_PORT),
             directory_address=(ip, DIRECTORY_PORT),
             internal_ports=(INTERNAL_PORT, INTERNAL_PORT + 1),
-            seed_ips=tuple(other for other in self.ips[:3] if other != ip),
+            seed_ips=tuple(other for other in self.ips[:3] if other != ip)
+            if self._seeds
+            else (),
             store_address=self.store_address(index),
             cores=1.0,
             link_mbps=1000.0,
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -286,3 +286,27 @@
         assert sum(target.overrun for target in cluster.targets) == 0
 
     run_scenario(scenario, vms=3, work_s=0.05)
+
+
+@pytest.mark.parametrize("fault", ["endless-head", "endless-body"])
+def test_response_without_end_costs_no_other_request_and_bounded_time(fault):
+    async def scenario(cluster):
+        started_s = asyncio.get_running_loop().time()
+        cluster.targets[0].choose_fault = lambda received: fault
+        cluster.targets[0].endless = True
+        calls = [
+            cluster.call(cluster.ips[0], f"r{n}", path="/write/1") for n in range(8)
+        ]
+        responses = await asyncio.gather(*calls)
+        assert asyncio.get_running_loop().time() - started_s < 1.5
+        served = {r.request_id for r in cluster.targets[1].received}
+        for request_id in served:
+            response = responses[int(request_id[1:])]
+            assert response.status == 200
+            assert response.body == f"answer to {request_id}".encode()
+        cluster.targets[0].choose_fault = lambda received: None
+        await asyncio.sleep(1.0)
+        later = [await cluster.call(cluster.ips[0], f"s{n}") for n in range(4)]
+        assert [r.status for r in later] == [200] * 4
+
+    run_scenario(scenario, work_s=0.05)
--- a/tests/gateway/test_slot_client.py
+++ b/tests/gateway/test_slot_client.py
@@ -64,8 +64,14 @@
         pass
 
 
-def run_scenario(scenario, incarnation=1):
-    """Run ``scenario(client, peers, runner)``; the client's decider is remote."""
+def run_scenario(scenario, incarnation=1, known=(ENTRY,)):
+    """Run ``scenario(client, peers, runner)``; the client's decider is remote.
+
+    Args:
+        scenario: Coroutine function.
+        incarnation: Incarnation of this VM.
+        known: TargetEntries that this VM knows.
+    """
 
     async def main():
         peers, runner = Peers(incarnation), Runner()
@@ -74,7 +80,8 @@
             decider=lambda service: DECIDER.name,
             is_decider=lambda service: False,
         )
-        cluster_state = types.SimpleNamespace(target=lambda key: ENTRY)
+        entries = {entry.key: entry for entry in known}
+        cluster_state = types.SimpleNamespace(target=entries.get)
         counters = types.SimpleNamespace(add=lambda name: None)
         log = types.SimpleNamespace(event=lambda event, **fields: None)
         client = SlotClient(services, peers, cluster_state, counters, log)
@@ -179,3 +186,15 @@
     for incarnation in (1_771_091_893_025, 1_771_091_893_026):
         run_scenario(scenario, incarnation)
     assert len(set(numbers)) == 6
+
+
+def test_vm_that_lacks_a_target_does_not_report_it_as_failed():
+    async def scenario(client, peers, runner):
+        client.submit("s", request(), lambda command: None)
+        grant(peers)
+        (ended,) = [m for m in peers.sent if isinstance(m, SlotEnded)]
+        assert Outcome(ended.outcome) is Outcome.CANCELLED
+        wanted = [m for m in peers.sent if isinstance(m, SlotWanted)][-1]
+        assert (wanted.round, wanted.tried) == (2, ["t"])
+
+    run_scenario(scenario, known=())
