Order the store's versions within one era only

Cause: the store comes back from a copy some seconds old and issues its versions again, which its header Store-Era tells. Replicas of tables ignored each row and each whole table that was not newer by version. A VM that had read the tables before the copy came back ignored what was written anew, and never got it later: other VMs pass on relevant changes only, and a registration is one only once. Where such a VM decides for a service, all its requests fail. Class of fault: versions of two timelines are compared.

Change: pages carry the era, from the header or from another VM's body. A replica takes over the whole table of a later era and refuses an earlier one; heartbeats state the era beside the version. Versions being no order across eras, what a target or the operator is known to have written later is told by sequence and lifetime, or by the configuration's own version: a target that leaves or is gone does not return with the copy, and a closed data centre stays closed while its row is written again.

The same cause elsewhere: a VM that had just read a whole table listed changes from before that read to followers, without the removals that it had missed, so a follower kept removed targets (new test in test_replica.py, fails before). It told others the newest version of any heartbeat as its newest change, so that they took their own copies for outdated.

--- a/sesamespring/gateway/cluster_state.py
+++ b/sesamespring/gateway/cluster_state.py
@@ -1,5 +1,6 @@
 """The configuration in force and the registered targets, from copies of the tables."""
 
+import math
 import time
 
 from returns.result import Failure
@@ -10,17 +11,19 @@
     OPERATOR_TABLE,
     decode_configuration,
     evacuated_data_centre,
+    is_earlier_operator_row,
 )
 from sesamespring.platform.registrations import (
     TARGETS_TABLE,
     decode_target,
+    is_earlier_registration,
     same_registration,
 )
 
 __all__ = ["ClusterState"]
 
-# Registrations that expired while the store was unavailable are written again within
-# about two seconds after it is back.
+# Registrations that expired while the store was unavailable, and rows that it lost, are
+# written again within about two seconds after it is back.
 EXPIRED_RETENTION_S = 2.5
 
 
@@ -35,10 +38,16 @@
     def __init__(self, log, on_change):
         self._log = log
         self._on_change = on_change
-        self._operator = TableReplica(OPERATOR_TABLE)
-        self._registrations = TableReplica(TARGETS_TABLE, same_registration)
+        self._operator = TableReplica(
+            OPERATOR_TABLE, is_superseded=is_earlier_operator_row
+        )
+        self._registrations = TableReplica(
+            TARGETS_TABLE, same_registration, is_earlier_registration
+        )
         self._configuration = None
         self._closed = frozenset()
+        # Dict of the end of its retention by data centre that is kept closed.
+        self._kept_closed = {}
         self._entries = {}
         self._expired = {}
 
@@ -104,6 +113,9 @@
     def drop_expired(self):
         """Remove targets not registered again in time after a store outage."""
         now_s = time.monotonic()
+        if any(until_s <= now_s for until_s in self._kept_closed.values()):
+            self._update_closed()
+            self._on_change()
         expired = [key for key, until_s in self._expired.items() if until_s <= now_s]
         for key in expired:
             del self._expired[key]
@@ -114,7 +126,27 @@
 
     def _apply_operator_rows(self, keys):
         rows = self._operator.rows
-        closed = frozenset(filter(None, map(evacuated_data_centre, rows)))
+        self._update_closed()
+        if CONFIGURATION_KEY in keys and CONFIGURATION_KEY in rows:
+            self._apply_configuration(rows[CONFIGURATION_KEY])
+
+    def _update_closed(self):
+        """Close the data centres that the operator's rows name.
+
+        One whose row has vanished in a gap stays closed for a while, as the store may
+        have lost the row, which the operator then writes again.
+        """
+        named = frozenset(filter(None, map(evacuated_data_centre, self._operator.rows)))
+        until_s = _retention_end_s(self._operator)
+        for name in self._closed - named:
+            self._kept_closed.setdefault(name, until_s)
+        now_s = time.monotonic()
+        self._kept_closed = {
+            name: end_s
+            for name, end_s in self._kept_closed.items()
+            if end_s > now_s and name not in named
+        }
+        closed = named | self._kept_closed.keys()
         if closed != self._closed:
             self._log.event(
                 "data-centres-closed",
@@ -122,8 +154,6 @@
                 version=self._operator.version,
             )
             self._closed = closed
-        if CONFIGURATION_KEY in keys and CONFIGURATION_KEY in rows:
-            self._apply_configuration(rows[CONFIGURATION_KEY])
 
     def _apply_configuration(self, row):
         decoded = decode_configuration(row.content)
@@ -149,9 +179,7 @@
             row = self._registrations.rows.get(key)
             entry = None if row is None else decode_target(key, row.content)
             if row is None and self._may_have_expired(key):
-                self._expired[key] = (
-                    self._registrations.gap_ended_s + EXPIRED_RETENTION_S
-                )
+                self._expired[key] = _retention_end_s(self._registrations)
                 continue
             self._expired.pop(key, None)
             self._set_entry(key, entry)
@@ -161,11 +189,10 @@
 
         A draining target's may not: its removal is intended.
         """
-        ended_s = self._registrations.gap_ended_s
         entry = self._entries.get(key)
-        if ended_s is None or entry is None or entry.leaving:
+        if entry is None or entry.leaving:
             return False
-        return time.monotonic() < ended_s + EXPIRED_RETENTION_S
+        return time.monotonic() < _retention_end_s(self._registrations)
 
     def _set_entry(self, key, entry):
         before = self._entries.pop(key, None)
@@ -193,3 +220,13 @@
             cold_s=entry.cold_left_s,
             version=version,
         )
+
+
+def _retention_end_s(replica):
+    """Return until when rows that vanished from a TableReplica may be written again.
+
+    The time is on the monotonic clock; it is in the past if there was no gap.
+    """
+    if replica.gap_ended_s is None:
+        return -math.inf
+    return replica.gap_ended_s + EXPIRED_RETENTION_S
--- a/sesamespring/gateway/daemon.py
+++ b/sesamespring/gateway/daemon.py
@@ -207,6 +207,8 @@
             "store_reached": self._table_sync.store_reached,
             "operator_version": self._cluster_state.operator.changed_version,
             "targets_version": self._cluster_state.registrations.changed_version,
+            "operator_era": self._cluster_state.operator.era,
+            "targets_era": self._cluster_state.registrations.era,
         }
 
     def _connections_max(self):
--- a/sesamespring/gateway/peers.py
+++ b/sesamespring/gateway/peers.py
@@ -9,7 +9,7 @@
 
 from sesamespring.errors import ExternalError
 from sesamespring.gateway.generated.ttypes import Heartbeat, KnownVms
-from sesamespring.platform.rows import ABSENT_VERSION
+from sesamespring.platform.rows import ABSENT_VERSION, UNKNOWN_ERA
 from sesamespring.routing.membership import (
     HEARTBEAT_INTERVAL_S,
     MEMBER_EXPIRY_S,
@@ -169,6 +169,8 @@
             store_reached=own.store_reached,
             operator_version=own.operator_version,
             targets_version=own.targets_version,
+            operator_era=own.operator_era,
+            targets_era=own.targets_era,
             callers_port=own.callers_port,
         )
 
@@ -248,7 +250,14 @@
 def _states(members):
     """Return the Members by name without the fields that change with each heartbeat."""
     return {
-        name: attrs.evolve(member, sequence=0, operator_version=0, targets_version=0)
+        name: attrs.evolve(
+            member,
+            sequence=0,
+            operator_version=0,
+            targets_version=0,
+            operator_era=UNKNOWN_ERA,
+            targets_era=UNKNOWN_ERA,
+        )
         for name, member in members.items()
     }
 
--- a/sesamespring/gateway/replica.py
+++ b/sesamespring/gateway/replica.py
@@ -3,7 +3,9 @@
 import asyncio
 import time
 
-from sesamespring.platform.rows import StoredRow, TableChanges
+import attrs
+
+from sesamespring.platform.rows import UNKNOWN_ERA, StoredRow, TableChanges
 
 __all__ = ["TableReplica"]
 
@@ -17,6 +19,10 @@
 class TableReplica:
     """The rows of one table, each in the newest version that reached this VM.
 
+    Versions order changes only within one era of the store. When the store is restored
+    from a copy, the era grows and versions that were issued before are issued again.
+    This VM then reads the whole table anew.
+
     Changes between equivalent contents, such as a new sequence number in a target's
     heartbeat, are stored but neither reported nor passed on to other VMs.
 
@@ -24,26 +30,40 @@
         name: Name of the table.
         is_equivalent: Function of the old and the new content of a row that returns
             whether they are equivalent.
+        is_superseded: Function of the content of a row in a new era and of the last
+            content known before, which returns whether the row's writer wrote the
+            former earlier.
 
     Attributes:
+        era: Era of the store that the versions belong to, or UNKNOWN_ERA.
         version: The store's version up to which the copy is complete.
-        changed_version: Version of the newest change that is relevant.
+        changed_version: Version of the newest change that is relevant; 0 after the
+            whole table was read, as its newest relevant change is unknown.
         complete_s: Time on the monotonic clock at which the copy was last known to be
             complete, or None before the table was read.
         gap_ended_s: Time on the same clock at which the copy was complete again after
             the last gap, or None.
     """
 
-    def __init__(self, name, is_equivalent=lambda old, new: old == new):
+    def __init__(
+        self,
+        name,
+        is_equivalent=lambda old, new: old == new,
+        is_superseded=lambda content, known: False,
+    ):
+        self.era = UNKNOWN_ERA
         self.version = 0
         self.changed_version = 0
         self.complete_s = None
         self.gap_ended_s = None
         self._name = name
         self._is_equivalent = is_equivalent
+        self._is_superseded = is_superseded
         self._rows = {}
         self._change_versions = {}
         self._tombstones = {}
+        # Dict by key of the last content of each row in ``_tombstones``.
+        self._removed_contents = {}
         self._history_start = 0
         self._waiters = set()
 
@@ -62,6 +82,14 @@
         """Dict of StoredRow by key, without removed rows."""
         return self._rows
 
+    def is_of_later_era(self, changes):
+        """Return whether TableChanges belong to a later era than this copy."""
+        return changes.era > self.era
+
+    def is_of_earlier_era(self, changes):
+        """Return whether TableChanges belong to an earlier era than this copy."""
+        return UNKNOWN_ERA < changes.era < self.era
+
     def replace(self, changes):
         """Replace the copy by the whole table, unless that is older.
 
@@ -71,6 +99,10 @@
         Returns:
             The set of the keys of rows with relevant changes.
         """
+        if self.is_of_earlier_era(changes):
+            return set()
+        if not self.loaded or self.is_of_later_era(changes):
+            return self._load(changes)
         if changes.version < self.version:
             return set()
         present = {row.key for row in changes.rows}
@@ -88,8 +120,9 @@
     def apply(self, changes):
         """Apply TableChanges and return the set of the keys of rows that changed.
 
-        Rows that are not newer than the copy's are skipped. Only relevant changes are
-        returned; they wake the callers of ``wait_for_change``.
+        The changes must belong to the copy's era. Rows that are not newer than the
+        copy's are skipped. Only relevant changes are returned; they wake the callers of
+        ``wait_for_change``.
         """
         changed = [row for row in changes.rows if self._apply_row(row)]
         keys = {row.key for row in changed}
@@ -98,10 +131,7 @@
         self.version = max(self.version, changes.version)
         self._update_age(time.monotonic() - changes.age_s)
         if keys:
-            waiters, self._waiters = self._waiters, set()
-            for waiter in waiters:
-                if not waiter.done():
-                    waiter.set_result(None)
+            self._wake_waiters()
         return keys
 
     def changes_after(self, version):
@@ -111,14 +141,14 @@
         """
         if version is None:
             rows = tuple(self._rows.values())
-            return TableChanges(rows, self.version, self.age_s)
+            return TableChanges(rows, self.version, self.age_s, era=self.era)
         if version < self._history_start:
             return None
         rows = [
             self._rows[key] for key, at in self._change_versions.items() if at > version
         ]
         rows += [row for row in self._tombstones.values() if row.version > version]
-        return TableChanges(tuple(rows), self.version, self.age_s)
+        return TableChanges(tuple(rows), self.version, self.age_s, era=self.era)
 
     @property
     def age_s(self):
@@ -132,6 +162,52 @@
         await asyncio.wait((waiter,), timeout=timeout_s)
         self._waiters.discard(waiter)
 
+    def _load(self, changes):
+        """Take over the whole table, at the start and in each later era.
+
+        In a later era it may lack what was written last before. So a row whose writer
+        is known to have written later keeps that content, or stays removed.
+        """
+        before = {key: row.content for key, row in self._rows.items()}
+        removed = self._removed_contents
+        self._rows, self._change_versions = {}, {}
+        self._tombstones, self._removed_contents = {}, {}
+        for row in changes.rows:
+            known = before.get(row.key, removed.get(row.key))
+            if known is None or not self._is_superseded(row.content, known):
+                self._rows[row.key] = row
+            elif row.key in before:
+                self._rows[row.key] = attrs.evolve(row, content=known)
+            else:
+                self._add_tombstone(attrs.evolve(row, content=None), known)
+        for key in before.keys() - {row.key for row in changes.rows}:
+            self._add_tombstone(StoredRow(key, changes.version, None), before[key])
+        self._change_versions = {key: row.version for key, row in self._rows.items()}
+        self.changed_version = 0
+        # Earlier removals are unknown, so earlier changes cannot be listed.
+        self._history_start = self.version = changes.version
+        was_loaded, self.era = self.loaded, changes.era
+        self._update_age(time.monotonic() - changes.age_s)
+        if was_loaded:
+            self.gap_ended_s = self.complete_s
+        self._wake_waiters()
+        return {
+            key
+            for key in before.keys() | self._rows.keys()
+            if not self._is_unchanged(before.get(key), self._rows.get(key))
+        }
+
+    def _is_unchanged(self, content, row):
+        if content is None or row is None:
+            return False
+        return self._is_equivalent(content, row.content)
+
+    def _wake_waiters(self):
+        waiters, self._waiters = self._waiters, set()
+        for waiter in waiters:
+            if not waiter.done():
+                waiter.set_result(None)
+
     def _update_age(self, complete_s):
         previous_s = self.complete_s
         if previous_s is not None and complete_s - previous_s > GAP_MIN_S:
@@ -151,6 +227,7 @@
         if row.content is None:
             return self._remove(row, current)
         self._tombstones.pop(row.key, None)
+        self._removed_contents.pop(row.key, None)
         self._rows[row.key] = row
         if current is not None and self._is_equivalent(current.content, row.content):
             return False
@@ -160,10 +237,16 @@
     def _remove(self, row, current):
         self._rows.pop(row.key, None)
         self._change_versions.pop(row.key, None)
+        self._add_tombstone(row, None if current is None else current.content)
+        return current is not None
+
+    def _add_tombstone(self, row, content):
         self._tombstones[row.key] = row
+        if content is not None:
+            self._removed_contents[row.key] = content
         while len(self._tombstones) > TOMBSTONES_MAX:
             oldest = next(iter(self._tombstones))
+            self._removed_contents.pop(oldest, None)
             self._history_start = max(
                 self._history_start, self._tombstones.pop(oldest).version
             )
-        return current is not None
--- a/sesamespring/gateway/table_sync.py
+++ b/sesamespring/gateway/table_sync.py
@@ -28,9 +28,19 @@
 # Heartbeats of the reader may still arrive while the connection to it is dead. So the
 # poll is also given up when the copy is behind other VMs' in this many checks in a row.
 STALE_CHECKS_MAX = 3
-VERSION_FIELDS = {
-    OPERATOR_TABLE: "operator_version",
-    TARGETS_TABLE: "targets_version",
+
+
+@attrs.frozen
+class _MemberFields:
+    """Names of the fields of a Member that state a table's era and newest change."""
+
+    era: str
+    version: str
+
+
+MEMBER_FIELDS = {
+    OPERATOR_TABLE: _MemberFields("operator_era", "operator_version"),
+    TARGETS_TABLE: _MemberFields("targets_era", "targets_version"),
 }
 SERVED_WAIT_MAX_S = 5.0
 STORE_PROBE_INTERVAL_S = 3.0
@@ -183,25 +193,48 @@
             fetching.cancel()
 
     def _is_stale(self, replica):
-        """Whether another VM's heartbeat states a newer version than this copy's."""
-        field = VERSION_FIELDS[replica.name]
-        versions = [getattr(member, field) for member in self._peers.alive.values()]
-        return max(versions, default=0) > replica.changed_version
+        """Whether another VM's heartbeat states a change that this copy lacks."""
+        fields = MEMBER_FIELDS[replica.name]
+        known = (replica.era, replica.version)
+        return any(
+            (getattr(member, fields.era), getattr(member, fields.version)) > known
+            for member in self._peers.alive.values()
+        )
 
     async def _fetch(self, source, replica):
         if not replica.loaded:
-            changes = await source.client.read_table(replica.name)
-            self._cluster_state.apply_changes(replica, replica.replace(changes))
+            await self._read_whole(source, replica)
             return
         result = await source.client.poll_changes(
             replica.name, replica.version, source.wait_s
         )
         if isinstance(result, Failure):
             self._log.event("history-lost", table=replica.name, version=replica.version)
-            changes = await source.client.read_table(replica.name)
-            self._cluster_state.apply_changes(replica, replica.replace(changes))
+            await self._read_whole(source, replica)
+            return
+        changes = result.unwrap()
+        _check_era(replica, changes)
+        if replica.is_of_later_era(changes):
+            await self._read_whole(source, replica)
             return
-        self._cluster_state.apply_changes(replica, replica.apply(result.unwrap()))
+        self._cluster_state.apply_changes(replica, replica.apply(changes))
+
+    async def _read_whole(self, source, replica):
+        changes = await source.client.read_table(replica.name)
+        _check_era(replica, changes)
+        was_restored = replica.loaded and replica.is_of_later_era(changes)
+        if was_restored:
+            self._log.event(
+                "store-restored",
+                table=replica.name,
+                source=source.name,
+                era=changes.era,
+                version=changes.version,
+                version_before=replica.version,
+            )
+        self._cluster_state.apply_changes(replica, replica.replace(changes))
+        if was_restored:
+            self._peers.broadcast_heartbeat()
 
     def _handle_failure(self, source, replica, error):
         failures = self._failures.get(replica.name, 0)
@@ -226,6 +259,17 @@
             self._peers.broadcast_heartbeat()
 
 
+def _check_era(replica, changes):
+    """Check that changes are not of an earlier era than the copy.
+
+    Raises:
+        ExternalError: They are; their source has not been restored yet.
+    """
+    if replica.is_of_earlier_era(changes):
+        detail = f"era {changes.era} is earlier than {replica.era}"
+        raise ExternalError(ErrorKind.PLATFORM_AWAY, detail)
+
+
 class FeedServer:
     """Serves this VM's copies of the tables to other VMs.
 
@@ -235,8 +279,8 @@
 
     def __init__(self, replicas):
         self._replicas = replicas
-        # Dict by table of the version and the encoded rows of the whole table, cached
-        # because many VMs that start together request the same.
+        # Dict by table of the era, the version and the encoded rows of the whole table,
+        # cached because many VMs that start together request the same.
         self._encoded = {}
 
     async def respond(self, rows_request):
@@ -259,11 +303,11 @@
             rows = self._encode_whole(rows_request.table, changes)
         else:
             rows = encode_rows(changes.rows)
-        return 200, encode_page(rows, changes.version, changes.age_s)
+        return 200, encode_page(rows, changes.version, changes.age_s, changes.era)
 
     def _encode_whole(self, table, changes):
-        version, rows = self._encoded.get(table, (None, b""))
-        if version != changes.version:
+        era, version, rows = self._encoded.get(table, (None, None, b""))
+        if (era, version) != (changes.era, changes.version):
             rows = encode_rows(changes.rows)
-            self._encoded[table] = (changes.version, rows)
+            self._encoded[table] = (changes.era, changes.version, rows)
         return rows
--- a/sesamespring/platform/operator_table.py
+++ b/sesamespring/platform/operator_table.py
@@ -17,6 +17,7 @@
     "OPERATOR_TABLE",
     "decode_configuration",
     "evacuated_data_centre",
+    "is_earlier_operator_row",
 ]
 
 OPERATOR_TABLE = "op"
@@ -56,6 +57,21 @@
         return Failure(f"invalid field: {error}")
 
 
+def is_earlier_operator_row(content, known):
+    """Return whether a row's content is an earlier configuration than another one.
+
+    Rows that are no configuration are not compared.
+
+    Args:
+        content: Content in question, in bytes.
+        known: Content to compare with, in bytes.
+    """
+    found, last = decode_configuration(content), decode_configuration(known)
+    if isinstance(found, Failure) or isinstance(last, Failure):
+        return False
+    return found.unwrap().version < last.unwrap().version
+
+
 def _decode(body):
     services = {
         name: _decode_service(name, item) for name, item in body["services"].items()
--- a/sesamespring/platform/registrations.py
+++ b/sesamespring/platform/registrations.py
@@ -6,7 +6,12 @@
 
 from sesamespring.routing.records import TargetEntry
 
-__all__ = ["TARGETS_TABLE", "decode_target", "same_registration"]
+__all__ = [
+    "TARGETS_TABLE",
+    "decode_target",
+    "is_earlier_registration",
+    "same_registration",
+]
 
 TARGETS_TABLE = "servers"
 READY_STATE = "ready"
@@ -51,6 +56,38 @@
     )
 
 
+def is_earlier_registration(content, known):
+    """Return whether a target wrote a row's content before another one.
+
+    Contents of different lifetimes are not compared.
+
+    Args:
+        content: Content in question, in bytes.
+        known: Content to compare with, in bytes.
+    """
+    found, last = _read_place(content), _read_place(known)
+    if found is None or last is None:
+        return False
+    return found.born_ms == last.born_ms and found.sequence < last.sequence
+
+
+@attrs.frozen
+class _Place:
+    """Place of a registration in the order in which its target wrote them."""
+
+    born_ms: int
+    sequence: int
+
+
+def _read_place(content):
+    try:
+        body = json.loads(content)
+        sequence = _integer(body["sequence"], 0, float("inf"))
+        return _Place(_integer(body.get("born", 0), 0, float("inf")), sequence)
+    except (KeyError, TypeError, ValueError, AttributeError, RecursionError):
+        return None
+
+
 def _decode(row_id, body):
     state = body["state"]
     if state not in (READY_STATE, LEAVING_STATE):
--- a/sesamespring/platform/rows.py
+++ b/sesamespring/platform/rows.py
@@ -10,6 +10,7 @@
     "ABSENT_VERSION",
     "FEED_PATH",
     "READ_PATH",
+    "UNKNOWN_ERA",
     "HistoryLost",
     "RowCondition",
     "RowConflict",
@@ -26,6 +27,8 @@
 ]
 
 ABSENT_VERSION = 0
+# Era of a source that does not state one, which is compared with no other era.
+UNKNOWN_ERA = 0
 READ_PATH = "/-/rows-get"
 FEED_PATH = "/-/rows-feed"
 # All rows are in the unnamed partition, so that one transaction can write several rows.
@@ -57,12 +60,16 @@
         age_s: Time since they were known to be up to date, in seconds; 0 if they come
             from the store itself.
         more: Whether the requested range has more rows.
+        era: Era of the store that the versions belong to, or UNKNOWN_ERA. It grows when
+            the store is restored from a copy, which loses the latest writes; versions
+            of different eras have no order.
     """
 
     rows: tuple
     version: int
     age_s: float = 0.0
     more: bool = False
+    era: int = UNKNOWN_ERA
 
 
 @attrs.frozen
@@ -113,9 +120,13 @@
     wait_s: float
 
 
-def decode_page(body):
+def decode_page(body, era=UNKNOWN_ERA):
     """Return the TableChanges in the JSON body of a response.
 
+    Args:
+        body: The JSON value.
+        era: Era that the response's header states. Another VM states it in the body.
+
     Raises:
         KeyError, TypeError, ValueError: The body is malformed.
     """
@@ -125,6 +136,7 @@
         # Only VMs include an age, with the rows of their replicas.
         age_s=body.get("ageMs", 0) / 1000,
         more=bool(body.get("hasMore")),
+        era=era or int(body.get("era", UNKNOWN_ERA)),
     )
 
 
@@ -181,15 +193,20 @@
     return json.dumps(list(map(_encode_row, rows)), separators=(",", ":")).encode()
 
 
-def encode_page(rows, version, age_s):
+def encode_page(rows, version, age_s, era=UNKNOWN_ERA):
     """Return the JSON body of the response to a RowsRequest.
 
     Args:
         rows: The result of ``encode_rows``.
         version: Version of the store up to which the rows are complete.
         age_s: Time since they were known to be up to date, in seconds.
+        era: Era of the store that the versions belong to.
     """
-    rest = b'"ver":%d,"hasMore":false,"ageMs":%d' % (version, int(age_s * 1000))
+    rest = b'"ver":%d,"hasMore":false,"ageMs":%d,"era":%d' % (
+        version,
+        int(age_s * 1000),
+        era,
+    )
     return b'{"rows":' + rows + b"," + rest + b"}"
 
 
--- a/sesamespring/platform/store.py
+++ b/sesamespring/platform/store.py
@@ -4,21 +4,22 @@
 import json
 from urllib.parse import quote
 
+import attrs
 import h11
 from returns.result import Failure, Success
 
 from sesamespring.errors import ErrorKind, ExternalError
 from sesamespring.http.channel import open_channel
-from sesamespring.http.headers import json_body
+from sesamespring.http.headers import header, json_body
 from sesamespring.platform.rows import (
     FEED_PATH,
     PARTITION,
     READ_PATH,
+    UNKNOWN_ERA,
     HistoryLost,
     RowCondition,
     RowConflict,
     RowWrite,
-    TableChanges,
     decode_page,
     decode_row,
     encode_transaction,
@@ -35,6 +36,17 @@
 NOT_FOUND = 404
 GONE = 410
 PRECONDITION_FAILED = 412
+ERA_HEADER = b"store-era"
+ERA_DIGITS_MAX = 9
+
+
+@attrs.frozen
+class _Reply:
+    """A response: its status, its body in bytes and the era that it states."""
+
+    status: int
+    content: bytes
+    era: int
 
 
 class StoreClient:
@@ -61,11 +73,16 @@
         """Return the TableChanges with all rows of a table, read page by page."""
         rows = []
         start = ""
+        era = None
         while True:
             page = await self.read_range(table, start)
+            if era not in (None, page.era):
+                detail = "store was restored while a table was read"
+                raise ExternalError(ErrorKind.PLATFORM_AWAY, detail)
+            era = page.era
             rows += page.rows
             if not page.more or not page.rows:
-                return TableChanges(tuple(rows), page.version, page.age_s)
+                return attrs.evolve(page, rows=tuple(rows), more=False)
             start = key_after(page.rows[-1].key)
 
     async def read_range(self, table, start, end=None, limit=PAGE_ROWS):
@@ -81,8 +98,7 @@
         if end is not None:
             query += f"&to={quote(end, safe='')}"
         query += f"&limit={min(limit, PAGE_ROWS)}"
-        status, content = await self._call("read", "GET", f"{READ_PATH}?{query}")
-        return _page(status, content)
+        return _page(await self._call("read", "GET", f"{READ_PATH}?{query}"))
 
     async def poll_changes(self, table, after, wait_s):
         """Return the changes of a table after a version, by one long poll.
@@ -96,12 +112,10 @@
             Success of TableChanges, or Failure of HistoryLost.
         """
         query = f"table={quote(table)}&after={after}&waitMs={int(wait_s * 1000)}"
-        status, content = await self._call(
-            "feed", "GET", f"{FEED_PATH}?{query}", wait_s=wait_s
-        )
-        if status == GONE:
+        reply = await self._call("feed", "GET", f"{FEED_PATH}?{query}", wait_s=wait_s)
+        if reply.status == GONE:
             return Failure(HistoryLost())
-        return Success(_page(status, content))
+        return Success(_page(reply))
 
     async def write(self, table, key, content, expected_version):
         """Write a row if it has the expected version, as ``transact`` does."""
@@ -120,14 +134,12 @@
             Success of the new version, or Failure of a RowConflict.
         """
         transaction = encode_transaction(table, expected, writes)
-        status, content = await self._call(
-            "write", "POST", WRITE_PATH, json_body(transaction)
-        )
-        if status not in (OK, PRECONDITION_FAILED):
-            raise _unexpected(status)
+        reply = await self._call("write", "POST", WRITE_PATH, json_body(transaction))
+        if reply.status not in (OK, PRECONDITION_FAILED):
+            raise _unexpected(reply.status)
         try:
-            body = json.loads(content)
-            if status == PRECONDITION_FAILED:
+            body = json.loads(reply.content)
+            if reply.status == PRECONDITION_FAILED:
                 return Failure(RowConflict(tuple(map(decode_row, body["rows"]))))
             return Success(int(body["ver"]))
         except (KeyError, TypeError, ValueError) as error:
@@ -138,19 +150,19 @@
     async def put_object(self, key, content):
         """Store bytes as an object, replacing an existing object with the same key."""
         path = OBJECT_PATHS["PUT"] + quote(key, safe="")
-        status, _ = await self._call("write", "PUT", path, content)
-        if not OK <= status < 300:
-            raise _unexpected(status)
+        reply = await self._call("write", "PUT", path, content)
+        if not OK <= reply.status < 300:
+            raise _unexpected(reply.status)
 
     async def get_object(self, key):
         """Return the bytes of an object, or None if it does not exist."""
         path = OBJECT_PATHS["GET"] + quote(key, safe="")
-        status, content = await self._call("read", "GET", path)
-        if status == NOT_FOUND:
+        reply = await self._call("read", "GET", path)
+        if reply.status == NOT_FOUND:
             return None
-        if status != OK:
-            raise _unexpected(status)
-        return content
+        if reply.status != OK:
+            raise _unexpected(reply.status)
+        return reply.content
 
     def close(self):
         """Close the connection."""
@@ -159,7 +171,7 @@
             self._channel = None
 
     async def _call(self, kind, method, target, body=b"", wait_s=0.0):
-        """Return the pair of status and content of the response."""
+        """Return the _Reply."""
         self._on_call(kind)
         try:
             async with self._lock, asyncio.timeout(self._timeout_s + wait_s):
@@ -191,7 +203,7 @@
             channel.finish(0.0)
         else:
             self.close()
-        return head.status_code, content
+        return _Reply(head.status_code, content, _stated_era(head.headers))
 
     async def _get_channel(self):
         if self._channel is None or not self._channel.usable:
@@ -205,11 +217,18 @@
     return key + "\0"
 
 
-def _page(status, content):
-    if status != OK:
-        raise _unexpected(status)
+def _stated_era(headers):
+    text = header(headers, ERA_HEADER, "")
+    if not text.isascii() or not text.isdigit() or len(text) > ERA_DIGITS_MAX:
+        return UNKNOWN_ERA
+    return int(text)
+
+
+def _page(reply):
+    if reply.status != OK:
+        raise _unexpected(reply.status)
     try:
-        return decode_page(json.loads(content))
+        return decode_page(json.loads(reply.content), reply.era)
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise ExternalError(
             ErrorKind.PLATFORM_AWAY, "malformed rows in response"
--- a/tests/gateway/test_replica.py
+++ b/tests/gateway/test_replica.py
@@ -6,7 +6,10 @@
 from hypothesis import strategies as st
 
 from sesamespring.gateway.replica import TableReplica
-from sesamespring.platform.registrations import same_registration
+from sesamespring.platform.registrations import (
+    is_earlier_registration,
+    same_registration,
+)
 from sesamespring.platform.rows import StoredRow, TableChanges
 
 
@@ -23,8 +26,8 @@
     return json.dumps(fields).encode()
 
 
-def changes(version, *rows):
-    return TableChanges(tuple(StoredRow(*row) for row in rows), version)
+def changes(version, *rows, era=0):
+    return TableChanges(tuple(StoredRow(*row) for row in rows), version, era=era)
 
 
 def test_state_changes_are_passed_on_but_heartbeats_are_not():
@@ -67,6 +70,34 @@
     assert replica.changes_after(9).rows == ()
 
 
+def test_whole_table_of_a_later_era_replaces_rows_with_greater_versions():
+    replica = TableReplica("t")
+    replica.replace(changes(50, ("a", 40, b"1"), ("b", 50, b"1"), era=1))
+    assert replica.replace(changes(30, ("a", 20, b"2"), era=2)) == {"a", "b"}
+    assert replica.rows["a"].content == b"2"
+    assert (replica.era, replica.version, set(replica.rows)) == (2, 30, {"a"})
+    assert replica.apply(changes(31, ("a", 31, b"3"), era=2)) == {"a"}
+    assert replica.replace(changes(60, ("a", 60, b"4"), era=1)) == set()
+
+
+def test_report_written_before_the_last_known_one_does_not_return_with_a_later_era():
+    replica = TableReplica("servers", same_registration, is_earlier_registration)
+    rows = [(key, 9, registration(9, "draining")) for key in "ab"]
+    replica.replace(changes(9, *rows, era=1))
+    replica.apply(changes(10, ("b", 10, None), era=1))
+    copied = [(key, 5, registration(5)) for key in "ab"]
+    assert replica.replace(changes(5, *copied, era=2)) == set()
+    assert replica.rows["a"].content == registration(9, "draining")
+    assert replica.apply(changes(6, ("b", 6, registration(10)), era=2)) == {"b"}
+
+
+def test_changes_before_the_first_read_are_unavailable_as_removals_are_unknown():
+    replica = TableReplica("t")
+    replica.replace(changes(9, ("b", 2, b"2")))
+    assert replica.changes_after(5) is None
+    assert replica.changes_after(9).rows == ()
+
+
 @given(
     st.lists(
         st.tuples(st.sampled_from("abc"), st.integers(1, 30), st.booleans()),
