Write a VM's address again after the store lost it

What callers would see: a VM that starts later, with stale seeds, does not find the earlier ones; a directory in this state names itself alone or nobody.

Cause: the row is written once at the start, and a store that comes back from a copy may have lost it. Change: a VM checks its row again when it learns of a new era. test_vm_whose_address_was_lost_with_the_store_is_found_by_a_later_one fails before and passes with it.

--- a/sesamespring/gateway/peers.py
+++ b/sesamespring/gateway/peers.py
@@ -55,6 +55,8 @@
         self._last_received_s = {}
         self._silent_sent_s = {}
         self._added_s = {}
+        self._must_register = asyncio.Event()
+        self._must_register.set()
         self._alive = {}
         self._socket = None
         self._handlers = {
@@ -127,11 +129,22 @@
                 HEARTBEAT_INTERVAL_S * heartbeat_interval_factor(len(self._addresses))
             )
 
+    def register_again(self):
+        """Make ``register`` check this VM's row, which the store may have lost."""
+        self._must_register.set()
+
     async def register(self):
         """Read the other VMs' addresses from the store and write this VM's there.
 
-        Retries until the row in the store holds this VM's address.
+        Retries until the row in the store holds this VM's address, at the start and
+        after each call of ``register_again``. Runs until cancelled.
         """
+        while True:
+            await self._must_register.wait()
+            self._must_register.clear()
+            await self._register_once()
+
+    async def _register_once(self):
         ip, port = self._settings.internal_address
         own = json.dumps({"ip": ip, "port": port}).encode()
         name = self._settings.process_name
--- a/sesamespring/gateway/table_sync.py
+++ b/sesamespring/gateway/table_sync.py
@@ -234,6 +234,7 @@
             )
         self._cluster_state.apply_changes(replica, replica.replace(changes))
         if was_restored:
+            self._peers.register_again()
             self._peers.broadcast_heartbeat()
 
     def _handle_failure(self, source, replica, error):
