Do not rest a target for all because one VM lacks it

Cause: a VM that gets a slot at a target it does not know reported the attempt as not sent. The deciding VM counted that as a failure of the target and rested it for half a second, longer after three. Class of fault: a fault of the one who asks is charged to the one who is asked.

Change: the slot is given back without a verdict, the request asks for another target, and target-unknown is logged, which was missing to tell this from targets that fail. test_vm_that_lacks_a_target_does_not_report_it_as_failed fails before and passes with it.

--- a/sesamespring/gateway/slot_client.py
+++ b/sesamespring/gateway/slot_client.py
@@ -257,11 +257,17 @@
         slot_request = self._find_current(message, address)
         entry = self._cluster_state.target((message.target, message.born_ms))
         if slot_request is None or entry is None:
-            outcome = Outcome.CANCELLED if slot_request is None else Outcome.NOT_SENT
+            # Says nothing about the target, which other VMs may know and reach.
+            unused = AttemptEnded(message.attempt, Outcome.CANCELLED, 0.0)
             grant = _Grant(address, message.attempt)
-            unused = AttemptEnded(message.attempt, outcome, 0.0)
             self._send_ended(grant, message.request, unused)
             if slot_request is not None:
+                self._log.event(
+                    "target-unknown",
+                    target=message.target,
+                    service=slot_request.service,
+                    decider=slot_request.decider.name,
+                )
                 self._cancel_timer(slot_request)
                 slot_request.request.tried.add((message.target, message.born_ms))
                 self.resubmit(slot_request)
