Reproduce LIMIT: targets that name a limit, under load from four VMs

Requests and health checks are counted from all VMs, also from those that were not told, which is stricter than the rule.

--- a/sesamespring/gateway/datagrams.py
+++ b/sesamespring/gateway/datagrams.py
@@ -26,6 +26,11 @@
         self._counters = counters
         self._transport = None
 
+    @property
+    def local_address(self):
+        """Pair of IP and port that the socket is bound to."""
+        return self._transport.get_extra_info("sockname")
+
     def connection_made(self, transport):
         """Keep the transport for sending."""
         self._transport = transport
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -80,7 +80,8 @@
             the text of a decimal number, or None.
         busy_s: If not None, it rejects each request with 503 and states that it wants
             none for so many seconds.
-        health_checks: Number of health checks that it received.
+        health_checks: List of the times at which health checks arrived, on the
+            monotonic clock.
         endless: Whether its health checks get bytes without end.
     """
 
@@ -100,7 +101,7 @@
         self.leaving = False
         self.limit_per_s = None
         self.busy_s = None
-        self.health_checks = 0
+        self.health_checks = []
         self.endless = False
         self._running = 0
         self._server = None
@@ -135,7 +136,7 @@
         method, target, _ = lines[0].split(" ")
         request_headers = dict(_parse_field(line) for line in lines[1:] if line)
         if target == "/health":
-            self.health_checks += 1
+            self.health_checks.append(time.monotonic())
             if self.endless:
                 return await self._write_endlessly(writer, b"noise ")
             headers = {"Sesamespring-Instance-Id": self.id}
--- a/tests/gateway/cluster.py
+++ b/tests/gateway/cluster.py
@@ -6,10 +6,12 @@
 import asyncio
 import contextlib
 import itertools
+from unittest import mock
 
 import attrs
 
 from sesamespring.gateway.daemon import GatewayDaemon
+from sesamespring.gateway.datagrams import DatagramSocket
 from sesamespring.platform.settings import Bounds, VmSettings
 from standins.platform_target import PlatformTarget
 from standins.store import FakeStore
@@ -190,6 +192,18 @@
         task.cancel()
         await asyncio.wait((task,))
 
+    def cut_datagrams(self, ip):
+        """Cut a VM off from the others' datagrams for good, in both directions."""
+        send = DatagramSocket.send
+
+        def send_unless_cut(sock, message, *addresses):
+            kept = [a for a in addresses if ip not in (a[0], sock.local_address[0])]
+            send(sock, message, *kept)
+
+        self._stack.enter_context(
+            mock.patch.object(DatagramSocket, "send", send_unless_cut)
+        )
+
     async def until_ready(self, ip, timeout_s=10.0):
         async with asyncio.timeout(timeout_s):
             while (await self.request((ip, READY_PORT), "/-/ready")).status != 200:
