Keep to the limits on requests that targets name, all VMs together

Cause: Server-Limit was read nowhere; the deciding VM granted slots by speed. Class of fault: a bound that is summed over VMs is known to none of them.

Change: each response states a limit or none. The newest statement of each target goes to all VMs with the heartbeats, at once when it changes, so that a new deciding VM, one that starts anew and those that were not told know it. Health checks of a limited target come every 2 s, and only if nothing else was heard.

--- a/sesamespring/gateway/attempt.py
+++ b/sesamespring/gateway/attempt.py
@@ -247,9 +247,17 @@
             taken_s=self._clock() - self._started_s,
             load=metadata.load if metadata else None,
             cold_left_s=metadata.cold_left_s if metadata else None,
+            limit_per_s=self._stated_limit(),
         )
         return AttemptResult(end, self._entry, response, reason)
 
+    def _stated_limit(self):
+        """Return the limit in the response if its sender is the expected target."""
+        metadata = self._metadata
+        if metadata is None or metadata.misdirected:
+            return None
+        return metadata.limit_per_s if metadata.signed or metadata.not_run else None
+
 
 def without_framing(headers):
     """Return headers without those that frame a body."""
--- a/sesamespring/gateway/cluster_state.py
+++ b/sesamespring/gateway/cluster_state.py
@@ -81,6 +81,11 @@
         """The TableReplica of the targets' table."""
         return self._registrations
 
+    @property
+    def target_keys(self):
+        """Set of the keys of all registered targets."""
+        return {entry.key for entry in self._entries.values()}
+
     def targets(self, service):
         """Return the TargetEntries of a service."""
         return [entry for entry in self._entries.values() if entry.service == service]
--- a/sesamespring/gateway/daemon.py
+++ b/sesamespring/gateway/daemon.py
@@ -26,6 +26,7 @@
 from sesamespring.gateway.slot_client import SlotClient
 from sesamespring.gateway.slot_server import SlotServer
 from sesamespring.gateway.table_sync import FeedServer, PollTiming, TableSync
+from sesamespring.gateway.target_limits import TargetLimits
 from sesamespring.http.pipeline import ServerLimits
 from sesamespring.platform.operator_table import OPERATOR_TABLE
 from sesamespring.platform.registrations import TARGETS_TABLE
@@ -89,8 +90,14 @@
         self._log = EventLog(settings.process_name)
         self._cluster_state = ClusterState(self._log, self._cluster_state_changed)
         self._store = StoreClient(settings.store_address, STORE_TIMEOUT_S)
+        self._limits = TargetLimits(self._counters, self._log)
         self._peers = Peers(
-            settings, self._local_state, self._store, self._log, self._peers_changed
+            settings,
+            self._local_state,
+            self._store,
+            self._limits,
+            self._log,
+            self._peers_changed,
         )
         self._table_sync = TableSync(
             settings,
@@ -102,20 +109,29 @@
         )
         self._target_connections = TargetConnectionPool(self._counters)
         self._services = Services(
-            settings, self._cluster_state, self._peers, self._target_connections
+            settings,
+            self._cluster_state,
+            self._peers,
+            self._target_connections,
+            self._limits,
         )
+        self._limits.on_change = self._services.apply_limits
+        self._limits.on_news = self._peers.broadcast_heartbeat
         self._slot_client = SlotClient(
             self._services, self._peers, self._cluster_state, self._counters, self._log
         )
         self._slot_server = SlotServer(self._services, self._peers)
         self._slot_server.register_handlers()
         probes_per_s = settings.bounds.probes_per_s
-        self._prober = Prober(self._services, self._counters, probes_per_s)
+        self._prober = Prober(
+            self._services, self._limits, self._counters, probes_per_s
+        )
         self._context = GatewayContext(
             self._cluster_state,
             None,
             self._slot_client,
             self._target_connections,
+            self._limits,
             self._counters,
             self._log,
             settings.data_centre,
@@ -243,6 +259,7 @@
         while True:
             await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
             self._cluster_state.drop_expired()
+            self._limits.drop_outdated(self._cluster_state.target_keys)
             self._counters.set("vms_heard", len(self._peers.alive))
             self._counters.set("requests_in_progress", self._callers.in_progress)
 
--- a/sesamespring/gateway/datagrams.thrift
+++ b/sesamespring/gateway/datagrams.thrift
@@ -1,6 +1,15 @@
 /* Datagrams between entry VMs on the platform. */
 namespace py sesamespring.gateway.generated
 
+/* What a target last stated about its limit. */
+struct TargetLimit {
+  1: required string target
+  2: required i64 born_ms
+  /* Requests per second from all VMs; absent where it names no limit any more. */
+  3: optional double per_s
+  4: required double age_s
+}
+
 struct Heartbeat {
   1: required string vm
   2: required string data_centre
@@ -17,6 +26,7 @@
   /* Eras of the store to which the two versions belong; 0 if unknown. */
   12: optional i32 operator_era = 0
   13: optional i32 targets_era = 0
+  14: optional list<TargetLimit> limits
 }
 
 /* Names VMs to one that has just started. */
--- a/sesamespring/gateway/forwarding.py
+++ b/sesamespring/gateway/forwarding.py
@@ -57,6 +57,7 @@
         routes: The RouteTable, or None before the first configuration.
         slot_client: The SlotClient.
         target_connections: The TargetConnectionPool.
+        limits: The TargetLimits.
         counters: The Counters.
         log: The EventLog.
         data_centre: Name of this VM's data centre.
@@ -68,6 +69,7 @@
     routes: object
     slot_client: object
     target_connections: object
+    limits: object
     counters: object
     log: object
     data_centre: str
@@ -252,8 +254,10 @@
         if task.cancelled():
             end = AttemptEnded(dispatch.attempt, Outcome.CANCELLED, 0.0)
             self._inbox.put_nowait(AttemptResult(end, dispatch.entry, None))
-        else:
-            self._inbox.put_nowait(task.result())
+            return
+        result = task.result()
+        self._context.limits.record_response(result.entry.key, result.end.limit_per_s)
+        self._inbox.put_nowait(result)
 
     def _handle_refusal(self, refusal):
         """Send the final response, unless an attempt is still in progress.
--- a/sesamespring/gateway/peers.py
+++ b/sesamespring/gateway/peers.py
@@ -36,15 +36,17 @@
         local_state: Function that returns the changing fields of this VM's Member, as a
             dict.
         store: The StoreClient with which this VM registers its address.
+        limits: The TargetLimits that heartbeats carry.
         log: The EventLog.
         on_change: Function without arguments, called when a VM appears, becomes silent
             or changes its state.
     """
 
-    def __init__(self, settings, local_state, store, log, on_change):
+    def __init__(self, settings, local_state, store, limits, log, on_change):
         self._settings = settings
         self._local_state = local_state
         self._store = store
+        self._limits = limits
         self._log = log
         self._on_change = on_change
         self._incarnation = time.time_ns() // 1_000_000
@@ -83,6 +85,16 @@
         """Dict by name of the Members that send heartbeats, without this VM."""
         return self._alive
 
+    @property
+    def known_count(self):
+        """Number of VMs that serve callers, with this one and those now silent."""
+        known = {
+            member.name
+            for member in self._membership.known()
+            if member.callers_port and not member.leaving
+        }
+        return len(known | {self._settings.process_name})
+
     @property
     def incarnation(self):
         """Start time of this process in milliseconds of Unix time."""
@@ -185,6 +197,7 @@
             operator_era=own.operator_era,
             targets_era=own.targets_era,
             callers_port=own.callers_port,
+            limits=self._limits.for_heartbeat(),
         )
 
     def _expire_addresses(self):
@@ -218,8 +231,10 @@
 
     def _handle_heartbeat(self, message, address):
         now_s = self._loop.time()
-        fields = {key: value for key, value in vars(message).items() if key != "vm"}
-        member = Member(name=message.vm, address=address, **fields)
+        fields = dict(vars(message))
+        limits = fields.pop("limits") or []
+        member = Member(name=fields.pop("vm"), address=address, **fields)
+        self._limits.record_heartbeat(limits, member.name)
         is_new = address not in self._last_received_s
         self._last_received_s[address] = now_s
         self._addresses.add(address)
--- a/sesamespring/gateway/prober.py
+++ b/sesamespring/gateway/prober.py
@@ -16,6 +16,9 @@
 CONCURRENT_PROBERS = 2.0
 TIMEOUT_S = 0.5
 UNREACHABLE_BACKOFF_S = 0.3
+# Health checks count against the limit that a target names. This many show when the
+# limit ends, and leave it to requests otherwise.
+LIMITED_INTERVAL_S = 2.0
 BODY_BYTES_MAX = 64 * 1024
 
 
@@ -25,12 +28,14 @@
     Args:
         services: Object whose ``services_to_probe()`` returns pairs of ServiceRunner
             and health path of the services whose targets are probed.
+        limits: The TargetLimits.
         counters: The Counters.
         probes_per_s: Maximum rate of health checks to one target, per second.
     """
 
-    def __init__(self, services, counters, probes_per_s):
+    def __init__(self, services, limits, counters, probes_per_s):
         self._services = services
+        self._limits = limits
         self._counters = counters
         self._interval_s = max(REPORT_AGE_MAX_S, CONCURRENT_PROBERS / probes_per_s)
         self._channels = {}
@@ -70,8 +75,11 @@
             return False
         if len(state.active_attempts) >= state.entry.slots:
             return False
-        updated_s = max(state.reported_s, self._probed_s.get(key, 0.0))
-        return now_s - updated_s >= self._interval_s
+        probed_s = self._probed_s.get(key, 0.0)
+        if state.pacer is not None:
+            stated_s = self._limits.stated.stated_s(key)
+            return now_s - max(stated_s, probed_s) >= LIMITED_INTERVAL_S
+        return now_s - max(state.reported_s, probed_s) >= self._interval_s
 
     async def _probe(self, runner, path, state):
         key = state.entry.key
@@ -87,6 +95,7 @@
         else:
             now_s = self._loop.time()
             if metadata.target_id in (None, state.entry.id):
+                self._limits.record_response(key, metadata.limit_per_s)
                 runner.scheduler.record_load(
                     key, metadata.load, metadata.cold_left_s, now_s
                 )
--- a/sesamespring/gateway/services.py
+++ b/sesamespring/gateway/services.py
@@ -20,13 +20,15 @@
         cluster_state: The ClusterState.
         peers: The Peers.
         target_connections: The TargetConnectionPool.
+        limits: The TargetLimits.
     """
 
-    def __init__(self, settings, cluster_state, peers, target_connections):
+    def __init__(self, settings, cluster_state, peers, target_connections, limits):
         self._settings = settings
         self._cluster_state = cluster_state
         self._peers = peers
         self._target_connections = target_connections
+        self._limits = limits
         self._runners = {}
         self._deciders = {}
         self._vms_for_callers = {}
@@ -93,6 +95,12 @@
         for runner in self._runners.values():
             runner.advance()
 
+    def apply_limits(self):
+        """Make all schedulers keep to the present limits of their targets."""
+        for runner in self._runners.values():
+            runner.scheduler.apply_limits(self._loop.time())
+            runner.advance()
+
     def close(self):
         """Close all ServiceRunners."""
         for runner in self._runners.values():
@@ -105,7 +113,11 @@
             self._runners[name] = runner
         scheduler = runner.scheduler
         scheduler.set_declaration(declaration)
-        scheduler.set_vms(len(self._serving_members()), not self.is_decider(name))
+        scheduler.set_vms(
+            len(self._serving_members()),
+            not self.is_decider(name),
+            self._peers.known_count,
+        )
         closed = self._cluster_state.closed_data_centres
         scheduler.set_targets(
             self._cluster_state.targets(name), closed, self._loop.time()
@@ -116,7 +128,7 @@
         budget = RetryBudget(
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s
         )
-        return ServiceScheduler(declaration, bounds, budget)
+        return ServiceScheduler(declaration, bounds, budget, self._limits.stated)
 
     def _serving_members(self):
         """Return the Members that accept requests.
--- a/sesamespring/platform/headers.py
+++ b/sesamespring/platform/headers.py
@@ -1,9 +1,12 @@
 """Parse and build the platform's headers of requests and responses."""
 
+import re
+
 import attrs
 
 from sesamespring.http.headers import header
 from sesamespring.routing.records import LoadReport
+from sesamespring.routing.request_limits import NO_LIMIT
 
 __all__ = [
     "ResponseMetadata",
@@ -24,10 +27,13 @@
 TARGET_ID = b"sesamespring-instance-id"
 COLD_LEFT_MS = b"sesamespring-warmup-ms"
 LOAD = b"sesamespring-server-load"
+# Requests per second that the target takes from all VMs together.
+LIMIT_PER_S = b"server-limit"
 MISDIRECTED = 421
 NORMAL_SLOWDOWN_PERCENT = 100
 TIMEOUT_MS_MAX = 3_600_000
 SLOWDOWN_MAX = 1000.0
+_DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{0,9})?")
 _REPLACED_HEADERS = frozenset({TIMEOUT_MS, EXPECTED_TARGET})
 
 
@@ -46,6 +52,8 @@
         load: The LoadReport, or None.
         cold_left_s: Remaining duration of the target's cold start, in seconds, or None.
         idle_s: How long the target keeps an idle connection open, in seconds, or None.
+        limit_per_s: Requests per second that the target takes from all VMs together,
+            NO_LIMIT if it names no limit, or None if its limit cannot be read.
     """
 
     request_id: bytes | None
@@ -57,6 +65,7 @@
     load: LoadReport | None
     cold_left_s: float | None
     idle_s: float | None
+    limit_per_s: float | None
 
 
 def read_request_id(headers):
@@ -131,6 +140,7 @@
         load=_read_load(fields.get(LOAD)),
         cold_left_s=None if cold_left_ms is None else cold_left_ms / 1000,
         idle_s=_read_idle(fields.get(b"keep-alive")),
+        limit_per_s=_read_limit(fields.get(LIMIT_PER_S)),
     )
 
 
@@ -161,6 +171,17 @@
     return None
 
 
+def _read_limit(raw):
+    """Decode a limit in requests per second.
+
+    >>> _read_limit(b"1.5"), _read_limit(None), _read_limit(b"many")
+    (1.5, inf, None)
+    """
+    if raw is None:
+        return NO_LIMIT
+    return float(raw) if _DECIMAL.fullmatch(raw.strip()) else None
+
+
 def _digits(raw):
     """Return a number of up to nine decimal digits, or None."""
     if raw is None or not raw.isdigit() or len(raw) > 9:
--- a/sesamespring/routing/membership.py
+++ b/sesamespring/routing/membership.py
@@ -112,6 +112,10 @@
         """Return the Members whose last heartbeat is within the timeout."""
         return [m for m in self._members.values() if self.is_alive(m.name, now_s)]
 
+    def known(self):
+        """Return the Members that are alive or have fallen silent."""
+        return list(self._members.values())
+
     def tick(self, now_s):
         """Compensate for pauses of this process and remove expired members.
 
--- a/sesamespring/routing/messages.py
+++ b/sesamespring/routing/messages.py
@@ -101,6 +101,8 @@
         taken_s: Seconds from sending the request to the end of the attempt.
         load: LoadReport of the response, or None.
         cold_left_s: Remaining cold start that the target reported, in seconds, or None.
+        limit_per_s: Requests per second that the target takes from all VMs according to
+            its response, or None if it did not respond.
     """
 
     attempt: int
@@ -108,6 +110,7 @@
     taken_s: float
     load: object = None
     cold_left_s: float | None = None
+    limit_per_s: float | None = None
 
 
 @attrs.frozen
--- a/sesamespring/routing/placement.py
+++ b/sesamespring/routing/placement.py
@@ -32,6 +32,8 @@
             target; used only to choose among slots.
         saturates: Whether a request in it takes the last of several slots of the
             target.
+        interval_s: Shortest time between the starts of two requests in it, in seconds;
+            0 unless the target names a limit.
     """
 
     state: object
@@ -42,6 +44,7 @@
     unsaturated_slowdown: float
     choice_cost: float
     saturates: bool
+    interval_s: float = 0.0
 
     def end_s(self, service_time_s, now_s, data_centre):
         """Return the expected end of a request in this slot, for choosing a slot.
@@ -79,6 +82,7 @@
     """Return the free Slots of targets and those that attempts in progress occupy.
 
     Targets that are out of service, in backoff or at their cold-start limit have none.
+    The slots of one that names a limit become free when the next request may be sent.
 
     Args:
         states: The TargetStates.
@@ -107,18 +111,34 @@
     entry = state.entry
     several = entry.slots > 1
     common = (state, entry.key, entry.data_centre)
+    paced_s, interval_s = now_s, 0.0
+    if state.pacer is not None:
+        paced_s = state.pacer.next_s(now_s)
+        interval_s = state.pacer.interval_s * entry.slots
     busy = len(state.active_attempts)
+    if not free and not busy:
+        # Only its limit keeps the target from serving a request now.
+        slots.append(
+            Slot(*common, paced_s, slowdown, slowdown, cost, False, interval_s)
+        )
+        return
     for index in range(free):
         last = several and busy + index + 1 >= entry.slots
         saturation = saturation_factor if last else 1.0
         slots.append(
             Slot(
-                *common, now_s, slowdown * saturation, slowdown, cost * saturation, last
+                *common,
+                now_s,
+                slowdown * saturation,
+                slowdown,
+                cost * saturation,
+                last,
+                interval_s,
             )
         )
     saturation = saturation_factor if several else 1.0
     for active in state.active_attempts.values():
-        free_s = active.expected_end_s(now_s)
+        free_s = max(active.expected_end_s(now_s), paced_s)
         slots.append(
             Slot(
                 *common,
@@ -127,6 +147,7 @@
                 slowdown,
                 cost * saturation,
                 several,
+                interval_s,
             )
         )
 
@@ -157,7 +178,8 @@
         slot = slots[index]
         starts_now = starts_s[index] <= now_s
         result.append(Assignment(request, slot, end_s, starts_now))
-        starts_s[index] += seconds * slot.expected_slowdown * WAIT_UNCERTAINTY
+        taken_s = seconds * slot.expected_slowdown * WAIT_UNCERTAINTY
+        starts_s[index] += max(taken_s, slot.interval_s)
     return result
 
 
--- a/sesamespring/routing/scheduler.py
+++ b/sesamespring/routing/scheduler.py
@@ -11,6 +11,7 @@
 )
 from sesamespring.routing.placement import open_slots
 from sesamespring.routing.queueing import make_plan
+from sesamespring.routing.request_limits import StatedLimits, rate_of_this_vm
 from sesamespring.routing.service_times import ServiceTimes
 from sesamespring.routing.target_state import ActiveAttempt, TargetState
 
@@ -48,12 +49,14 @@
         bounds: Object with the attributes ``cold_ratio`` and ``cold_slack``, see
             ``platform.settings.Bounds``.
         budget: The RetryBudget of the service at this VM.
+        limits: The StatedLimits of the targets.
     """
 
-    def __init__(self, declaration, bounds, budget):
+    def __init__(self, declaration, bounds, budget, limits=None):
         self._declaration = declaration
         self._bounds = bounds
         self._budget = budget
+        self._limits = StatedLimits() if limits is None else limits
         self._states = {}
         self._removed = {}
         self._waiting = {}
@@ -64,6 +67,7 @@
         self._average_slowdown = 1.0
         self._shared = False
         self._vms = 1
+        self._vms_known = 1
         self._last_full_plan_s = -math.inf
 
     @property
@@ -90,15 +94,25 @@
         """Replace the ServiceDeclaration."""
         self._declaration = declaration
 
-    def set_vms(self, vms, shared):
-        """Update the view of the VMs.
+    def set_vms(self, vms, shared, vms_known=1):
+        """Update the view of the VMs; takes effect for limits with ``apply_limits``.
 
         Args:
             vms: Number of VMs that serve requests.
             shared: Whether other VMs send to the targets without this VM's decision.
+            vms_known: Number of VMs including those that have fallen silent.
         """
         self._vms = vms
         self._shared = shared
+        self._vms_known = vms_known
+
+    def apply_limits(self, now_s):
+        """Pace the requests to all targets by the limits that they name."""
+        vms, vms_known = self._vms, self._vms_known
+        for key, state in self._states.items():
+            limit = self._limits.per_s(key)
+            rate = rate_of_this_vm(limit, vms, vms_known, not self._shared)
+            state.set_limit(rate, now_s)
 
     def set_targets(self, entries, closed_data_centres, now_s):
         """Replace the targets of the service.
@@ -129,6 +143,7 @@
                 if state.active_attempts:
                     self._removed[key] = state
         self._states = kept
+        self.apply_limits(now_s)
 
     def record_load(self, key, load, cold_left_s, now_s):
         """Process what a target reported about its load.
@@ -279,6 +294,8 @@
         )
         if state.is_cold(now_s):
             state.cold_start_limiter.record(now_s)
+        if state.pacer is not None:
+            state.pacer.record(now_s)
         request.attempts[attempt] = state.entry.key
         request.tried.add(state.entry.key)
         request.attempts_left -= 1
--- a/sesamespring/routing/target_state.py
+++ b/sesamespring/routing/target_state.py
@@ -6,6 +6,7 @@
 
 from sesamespring.routing.cold_start_limiter import ColdStartLimiter
 from sesamespring.routing.records import TargetEntry
+from sesamespring.routing.request_limits import NO_LIMIT, RequestPacer
 
 __all__ = ["ActiveAttempt", "TargetState"]
 
@@ -76,6 +77,7 @@
         consecutive_failures: Number of failures since the last success.
         backoff_until_s: Time until which it gets no requests.
         cold_start_limiter: Its ColdStartLimiter.
+        pacer: The RequestPacer of the limit that it names, or None without a limit.
         costs_updated_s: Time at which ``cached_costs`` was computed.
         cached_costs: The pair that ``costs`` returns.
     """
@@ -94,6 +96,7 @@
     consecutive_failures: int = 0
     backoff_until_s: float = -math.inf
     cold_start_limiter: ColdStartLimiter = attrs.field(factory=ColdStartLimiter)
+    pacer: RequestPacer | None = None
     costs_updated_s: float = -math.inf
     cached_costs: tuple = (1.0, 1.0)
 
@@ -154,7 +157,7 @@
     def free_slots(self, now_s, shared):
         """Return the number of free slots, which is negative if it is overcommitted.
 
-        A target that is out of service or in backoff has none.
+        A target that is out of service, in backoff or at its limit has none.
 
         Args:
             now_s: Current time.
@@ -166,7 +169,22 @@
         taken = len(self.active_attempts)
         if shared and now_s - self.reported_s < REPORT_LIFETIME_S:
             taken += self.other_requests
-        return self.entry.slots - taken
+        free = self.entry.slots - taken
+        return free if self.pacer is None else min(free, self.pacer.available(now_s))
+
+    def set_limit(self, per_s, now_s):
+        """Pace the requests to the target.
+
+        Args:
+            per_s: Requests per second that this VM may send, or NO_LIMIT.
+            now_s: Current time.
+        """
+        if per_s == NO_LIMIT:
+            self.pacer = None
+            return
+        if self.pacer is None:
+            self.pacer = RequestPacer(now_s)
+        self.pacer.set_rate(per_s, now_s)
 
     def record_load(self, load, now_s):
         """Process a LoadReport of the target."""
