Divide a cold target's limit among the VMs that decide on their own

What targets would see: when the deciding VM is silent for a moment, each other VM decides on its own for up to a second and sent a cold target as much as the deciding VM may: 12 VMs 84 requests in a second where 15 are allowed.

Change: these VMs share what the deciding VM does not use. With 12 VMs that is less than one request each, so they leave cold targets to the deciding VM.

test_vms_that_decide_alone_keep_to_the_limit_of_a_cold_target_together fails before (84) and passes with it.

--- a/sesamespring/routing/scheduler.py
+++ b/sesamespring/routing/scheduler.py
@@ -29,6 +29,8 @@
 SLOWDOWN_WEIGHT = 0.02
 RETRY_AFTER_MIN_S = 0.05
 RETRY_AFTER_MAX_S = 2.0
+# Share of a cold target's limit that the decider may use. VMs that decide on their own
+# have as much together.
 COLD_RATE_SHARE = 0.5
 # A longer queue is planned as a whole only once per interval, as the time that this
 # takes is proportional to its length.
@@ -382,17 +384,21 @@
         return slot
 
     def _slots(self, now_s):
-        cold_limit = self._declaration.cold_per_s * self._bounds.cold_ratio
-        cold_limit = COLD_RATE_SHARE * (cold_limit + self._bounds.cold_slack)
         return open_slots(
             self._states.values(),
             now_s,
             self._average_slowdown,
             self._service_times.saturation_factor,
             self._shared,
-            cold_limit,
+            self._cold_limit(),
         )
 
+    def _cold_limit(self):
+        """Return how many requests this VM may send to a cold target in a second."""
+        limit = self._declaration.cold_per_s * self._bounds.cold_ratio
+        limit = COLD_RATE_SHARE * (limit + self._bounds.cold_slack)
+        return limit / max(1, self._vms_known - 1) if self._shared else limit
+
     def _has_free_slot(self, now_s):
         states = self._states.values()
         return any(state.free_slots(now_s, self._shared) > 0 for state in states)
--- a/tests/routing/test_scheduler.py
+++ b/tests/routing/test_scheduler.py
@@ -289,3 +289,15 @@
     (command,) = scheduler.submit(make_request(now_s, timeout_s=90.0), now_s + 1.01)
     scheduler.finish_attempt(attempt_ended(command), now_s + 1.06)
     assert len(calls) <= 3
+
+
+def test_vms_that_decide_alone_keep_to_the_limit_of_a_cold_target_together():
+    vms = 12
+    sent = 0
+    for number in range(vms):
+        scheduler = make_scheduler(make_target("a", slots=99, cold_left_s=9.0))
+        scheduler.set_vms(vms, shared=number > 0, vms_known=vms)
+        for _ in range(30):
+            commands = scheduler.submit(make_request(timeout_s=9.0), 0.0)
+            sent += len(dispatched(commands))
+    assert 0 < sent <= 6.7 * 1.5 + 5
