Do not count a request's own lateness against its target

What callers would see: targets that were silent for a while are well again, and service stays away.

Cause: while all targets rest after failures, the queue fills with requests whose deadlines are near. As soon as a target's rest ends it gets these, they time out after some milliseconds, that counted as its failure, and it rested again, up to 2 s. Class of fault: a self-sustaining overload, by charging the target for what the sender did.

--- a/sesamespring/routing/scheduler.py
+++ b/sesamespring/routing/scheduler.py
@@ -37,7 +37,11 @@
 FULL_PLAN_QUEUE_MAX = 32
 FULL_PLAN_INTERVAL_S = 0.02
 
-_FAILURES = frozenset({Outcome.FAILED, Outcome.BROKEN, Outcome.TIMED_OUT})
+# A target that was given at least this multiple of the expected duration has failed if
+# the caller's deadline ends the attempt. Given less, the request was sent too late.
+ENOUGH_TIME_FACTOR = 4.0
+
+_FAILURES = frozenset({Outcome.FAILED, Outcome.BROKEN})
 
 
 class ServiceScheduler:
@@ -436,7 +440,7 @@
                 active.slowdown_at_dispatch,
                 active.saturates,
             )
-        elif outcome in _FAILURES:
+        elif _is_failure(active, ended):
             state.record_failure(now_s)
         elif outcome is Outcome.REJECTED:
             state.back_off(now_s, REJECTED_BACKOFF_S)
@@ -446,3 +450,15 @@
             state.back_off(now_s, UNREACHABLE_BACKOFF_S)
         elif outcome is Outcome.MISDIRECTED:
             state.in_service = False
+
+
+def _is_failure(active, ended):
+    """Return whether the end of an attempt counts against its target.
+
+    Args:
+        active: The ActiveAttempt.
+        ended: The AttemptEnded.
+    """
+    if ended.outcome is Outcome.TIMED_OUT:
+        return ended.taken_s >= ENOUGH_TIME_FACTOR * active.expected_s
+    return ended.outcome in _FAILURES
