--- a/sesamespring/routing/scheduler.py
+++ b/sesamespring/routing/scheduler.py
@@ -11,6 +11,7 @@
 )
 from sesamespring.routing.placement import open_slots
 from sesamespring.routing.queueing import make_plan
+from sesamespring.routing.request_limits import StatedLimits, rate_of_this_vm
 from sesamespring.routing.service_times import ServiceTimes
 from sesamespring.routing.target_state import ActiveAttempt, TargetState
 
@@ -28,13 +29,19 @@
 SLOWDOWN_WEIGHT = 0.02
 RETRY_AFTER_MIN_S = 0.05
 RETRY_AFTER_MAX_S = 2.0
+# Share of a cold target's limit that the decider may use. VMs that decide on their own
+# have as much together.
 COLD_RATE_SHARE = 0.5
 # A longer queue is planned as a whole only once per interval, as the time that this
 # takes is proportional to its length.
 FULL_PLAN_QUEUE_MAX = 32
 FULL_PLAN_INTERVAL_S = 0.02
 
-_FAILURES = frozenset({Outcome.FAILED, Outcome.BROKEN, Outcome.TIMED_OUT})
+# A target that was given at least this multiple of the expected duration has failed if
+# the caller's deadline ends the attempt. Given less, the request was sent too late.
+ENOUGH_TIME_FACTOR = 4.0
+
+_FAILURES = frozenset({Outcome.FAILED, Outcome.BROKEN})
 
 
 class ServiceScheduler:
@@ -48,12 +55,14 @@
         bounds: Object with the attributes ``cold_ratio`` and ``cold_slack``, see
             ``platform.settings.Bounds``.
         budget: The RetryBudget of the service at this VM.
+        limits: The StatedLimits of the targets.
     """
 
-    def __init__(self, declaration, bounds, budget):
+    def __init__(self, declaration, bounds, budget, limits=None):
         self._declaration = declaration
         self._bounds = bounds
         self._budget = budget
+        self._limits = StatedLimits() if limits is None else limits
         self._states = {}
         self._removed = {}
         self._waiting = {}
@@ -64,6 +73,7 @@
         self._average_slowdown = 1.0
         self._shared = False
         self._vms = 1
+        self._vms_known = 1
         self._last_full_plan_s = -math.inf
 
     @property
@@ -90,15 +100,25 @@
         """Replace the ServiceDeclaration."""
         self._declaration = declaration
 
-    def set_vms(self, vms, shared):
-        """Update the view of the VMs.
+    def set_vms(self, vms, shared, vms_known=1):
+        """Update the view of the VMs; takes effect for limits with ``apply_limits``.
 
         Args:
             vms: Number of VMs that serve requests.
             shared: Whether other VMs send to the targets without this VM's decision.
+            vms_known: Number of VMs including those that have fallen silent.
         """
         self._vms = vms
         self._shared = shared
+        self._vms_known = vms_known
+
+    def apply_limits(self, now_s):
+        """Pace the requests to all targets by the limits that they name."""
+        vms, vms_known = self._vms, self._vms_known
+        for key, state in self._states.items():
+            limit = self._limits.per_s(key)
+            rate = rate_of_this_vm(limit, vms, vms_known, not self._shared)
+            state.set_limit(rate, now_s)
 
     def set_targets(self, entries, closed_data_centres, now_s):
         """Replace the targets of the service.
@@ -129,6 +149,7 @@
                 if state.active_attempts:
                     self._removed[key] = state
         self._states = kept
+        self.apply_limits(now_s)
 
     def record_load(self, key, load, cold_left_s, now_s):
         """Process what a target reported about its load.
@@ -279,6 +300,8 @@
         )
         if state.is_cold(now_s):
             state.cold_start_limiter.record(now_s)
+        if state.pacer is not None:
+            state.pacer.record(now_s)
         request.attempts[attempt] = state.entry.key
         request.tried.add(state.entry.key)
         request.attempts_left -= 1
@@ -365,17 +388,21 @@
         return slot
 
     def _slots(self, now_s):
-        cold_limit = self._declaration.cold_per_s * self._bounds.cold_ratio
-        cold_limit = COLD_RATE_SHARE * (cold_limit + self._bounds.cold_slack)
         return open_slots(
             self._states.values(),
             now_s,
             self._average_slowdown,
             self._service_times.saturation_factor,
             self._shared,
-            cold_limit,
+            self._cold_limit(),
         )
 
+    def _cold_limit(self):
+        """Return how many requests this VM may send to a cold target in a second."""
+        limit = self._declaration.cold_per_s * self._bounds.cold_ratio
+        limit = COLD_RATE_SHARE * (limit + self._bounds.cold_slack)
+        return limit / max(1, self._vms_known - 1) if self._shared else limit
+
     def _has_free_slot(self, now_s):
         states = self._states.values()
         return any(state.free_slots(now_s, self._shared) > 0 for state in states)
@@ -413,7 +440,7 @@
                 active.slowdown_at_dispatch,
                 active.saturates,
             )
-        elif outcome in _FAILURES:
+        elif _is_failure(active, ended):
             state.record_failure(now_s)
         elif outcome is Outcome.REJECTED:
             state.back_off(now_s, REJECTED_BACKOFF_S)
@@ -423,3 +450,15 @@
             state.back_off(now_s, UNREACHABLE_BACKOFF_S)
         elif outcome is Outcome.MISDIRECTED:
             state.in_service = False
+
+
+def _is_failure(active, ended):
+    """Return whether the end of an attempt counts against its target.
+
+    Args:
+        active: The ActiveAttempt.
+        ended: The AttemptEnded.
+    """
+    if ended.outcome is Outcome.TIMED_OUT:
+        return ended.taken_s >= ENOUGH_TIME_FACTOR * active.expected_s
+    return ended.outcome in _FAILURES
