Forget the end of a limit some time after it was stated

Each response without a limit renewed the statement that there is none, so the targets that once named a limit stayed in all heartbeats.

--- a/sesamespring/routing/request_limits.py
+++ b/sesamespring/routing/request_limits.py
@@ -62,7 +62,8 @@
     def record(self, statement):
         """Keep a LimitStatement if it is newer; return whether a limit changed."""
         known = self._statements.get(statement.key)
-        if known is None and statement.per_s == NO_LIMIT:
+        if statement.per_s == NO_LIMIT and self.per_s(statement.key) == NO_LIMIT:
+            # Not refreshed, so that the end of a limit is forgotten some time later.
             return False
         if known is not None and statement.stated_s <= known.stated_s:
             return False
--- a/tests/routing/test_request_limits.py
+++ b/tests/routing/test_request_limits.py
@@ -105,6 +105,7 @@
     assert limits.per_s(KEY) == NO_LIMIT
     # An older statement that another VM passes on late does not restore the limit.
     assert not limits.record(LimitStatement(KEY, 2.0, 3.5))
+    assert not limits.record(LimitStatement(KEY, NO_LIMIT, 99.0))
     limits.drop_outdated({KEY}, 100.0)
     assert limits.newest(9) == []
 
