Take the store's era 0 for an era, and leave VMs that state none

Found by reading the change again, not by a test: a first era with the number 0 was taken for unknown, and an unknown era for the present one. A follower in era 1 would have taken rows of era 0, with greater versions, from a VM that had not read the restored store yet, and would have been as stuck as before the fix. Unknown is -1 now; a VM that states an earlier era or none is left for the next one. The store itself is believed without the header.

The stand-in of the store begins with era 0.

--- a/sesamespring/gateway/datagrams.thrift
+++ b/sesamespring/gateway/datagrams.thrift
@@ -23,9 +23,9 @@
   10: required i64 targets_version
   /* 0 where the process takes no requests of callers. */
   11: required i32 callers_port
-  /* Eras of the store to which the two versions belong; 0 if unknown. */
-  12: optional i32 operator_era = 0
-  13: optional i32 targets_era = 0
+  /* Eras of the store to which the two versions belong; -1 if unknown. */
+  12: optional i32 operator_era = -1
+  13: optional i32 targets_era = -1
   14: optional list<TargetLimit> limits
 }
 
--- a/sesamespring/gateway/replica.py
+++ b/sesamespring/gateway/replica.py
@@ -88,18 +88,19 @@
 
     def is_of_earlier_era(self, changes):
         """Return whether TableChanges belong to an earlier era than this copy."""
-        return UNKNOWN_ERA < changes.era < self.era
+        return changes.era < self.era
 
     def replace(self, changes):
         """Replace the copy by the whole table, unless that is older.
 
         Args:
-            changes: TableChanges with all rows of the table.
+            changes: TableChanges with all rows of the table. If their era is unknown,
+                the copy's is assumed.
 
         Returns:
             The set of the keys of rows with relevant changes.
         """
-        if self.is_of_earlier_era(changes):
+        if changes.era != UNKNOWN_ERA and self.is_of_earlier_era(changes):
             return set()
         if not self.loaded or self.is_of_later_era(changes):
             return self._load(changes)
--- a/sesamespring/gateway/table_sync.py
+++ b/sesamespring/gateway/table_sync.py
@@ -14,7 +14,7 @@
 from sesamespring.errors import ErrorKind, ExternalError
 from sesamespring.platform.operator_table import OPERATOR_TABLE
 from sesamespring.platform.registrations import TARGETS_TABLE
-from sesamespring.platform.rows import encode_page, encode_rows
+from sesamespring.platform.rows import UNKNOWN_ERA, encode_page, encode_rows
 from sesamespring.platform.store import StoreClient
 from sesamespring.routing.rendezvous import rank
 from sesamespring.routing.vm_selection import reader_names
@@ -213,7 +213,7 @@
             await self._read_whole(source, replica)
             return
         changes = result.unwrap()
-        _check_era(replica, changes)
+        _check_era(source, replica, changes)
         if replica.is_of_later_era(changes):
             await self._read_whole(source, replica)
             return
@@ -221,7 +221,7 @@
 
     async def _read_whole(self, source, replica):
         changes = await source.client.read_table(replica.name)
-        _check_era(replica, changes)
+        _check_era(source, replica, changes)
         was_restored = replica.loaded and replica.is_of_later_era(changes)
         if was_restored:
             self._log.event(
@@ -260,12 +260,17 @@
             self._peers.broadcast_heartbeat()
 
 
-def _check_era(replica, changes):
+def _check_era(source, replica, changes):
     """Check that changes are not of an earlier era than the copy.
 
+    A response of the store itself that states no era is taken for one of the present
+    era.
+
     Raises:
-        ExternalError: They are; their source has not been restored yet.
+        ExternalError: They are; another VM has not read the restored store yet.
     """
+    if source.is_store and changes.era == UNKNOWN_ERA:
+        return
     if replica.is_of_earlier_era(changes):
         detail = f"era {changes.era} is earlier than {replica.era}"
         raise ExternalError(ErrorKind.PLATFORM_AWAY, detail)
--- a/sesamespring/platform/rows.py
+++ b/sesamespring/platform/rows.py
@@ -27,8 +27,8 @@
 ]
 
 ABSENT_VERSION = 0
-# Era of a source that does not state one, which is compared with no other era.
-UNKNOWN_ERA = 0
+# Era of a source that does not state one; less than all others.
+UNKNOWN_ERA = -1
 READ_PATH = "/-/rows-get"
 FEED_PATH = "/-/rows-feed"
 # All rows are in the unnamed partition, so that one transaction can write several rows.
@@ -125,7 +125,8 @@
 
     Args:
         body: The JSON value.
-        era: Era that the response's header states. Another VM states it in the body.
+        era: Era that the response's header states. Another VM states it in the body
+            instead.
 
     Raises:
         KeyError, TypeError, ValueError: The body is malformed.
@@ -136,7 +137,7 @@
         # Only VMs include an age, with the rows of their replicas.
         age_s=body.get("ageMs", 0) / 1000,
         more=bool(body.get("hasMore")),
-        era=era or int(body.get("era", UNKNOWN_ERA)),
+        era=int(body.get("era", era)),
     )
 
 
--- a/sesamespring/routing/membership.py
+++ b/sesamespring/routing/membership.py
@@ -39,8 +39,8 @@
         operator_version: Version of the newest change of the operator's table that it
             has received.
         targets_version: The same for the targets' table.
-        operator_era: Era of the store that ``operator_version`` belongs to; versions of
-            different eras have no order.
+        operator_era: Era of the store that ``operator_version`` belongs to, or -1 if
+            unknown; versions of different eras have no order.
         targets_era: The same for the targets' table.
     """
 
@@ -56,8 +56,8 @@
     store_reached: bool
     operator_version: int
     targets_version: int
-    operator_era: int = 0
-    targets_era: int = 0
+    operator_era: int = -1
+    targets_era: int = -1
 
 
 def heartbeat_interval_factor(vms):
--- a/standins/store.py
+++ b/standins/store.py
@@ -87,7 +87,7 @@
     def __init__(self):
         self.faults = StoreFaults()
         self.calls = []
-        self.era = 1
+        self.era = 0
         self._rows = {}
         self._change_log = []
         self._version = 0
--- a/tests/gateway/test_replica.py
+++ b/tests/gateway/test_replica.py
@@ -10,7 +10,7 @@
     is_earlier_registration,
     same_registration,
 )
-from sesamespring.platform.rows import StoredRow, TableChanges
+from sesamespring.platform.rows import UNKNOWN_ERA, StoredRow, TableChanges
 
 
 def registration(sequence, state="ready", cold_ms=0):
@@ -26,7 +26,7 @@
     return json.dumps(fields).encode()
 
 
-def changes(version, *rows, era=0):
+def changes(version, *rows, era=UNKNOWN_ERA):
     return TableChanges(tuple(StoredRow(*row) for row in rows), version, era=era)
 
 
@@ -80,6 +80,15 @@
     assert replica.replace(changes(60, ("a", 60, b"4"), era=1)) == set()
 
 
+def test_source_of_the_first_or_of_an_unknown_era_is_earlier_than_the_second():
+    replica = TableReplica("t")
+    replica.replace(changes(30, ("a", 20, b"2"), era=1))
+    for era in (UNKNOWN_ERA, 0):
+        assert replica.is_of_earlier_era(changes(60, era=era))
+    assert not replica.is_of_earlier_era(changes(60, era=1))
+    assert replica.is_of_later_era(changes(10, era=2))
+
+
 def test_report_written_before_the_last_known_one_does_not_return_with_a_later_era():
     replica = TableReplica("servers", same_registration, is_earlier_registration)
     rows = [(key, 9, registration(9, "draining")) for key in "ab"]
