Leave a VM that has lost the store, while others reach it

Cause: one answer of the store to a reader was lost. The VMs that follow it kept to its copy until their polls ended, so theirs grew older than 2.5 s, which counts as an outage in which registrations may lapse; the target that was removed meanwhile was kept for 2.5 s.

Change: a VM leaves one whose heartbeat tells that it has lost the store, if another one reaches it.

--- a/sesamespring/gateway/table_sync.py
+++ b/sesamespring/gateway/table_sync.py
@@ -173,7 +173,8 @@
 
         Raises:
             ExternalError: The fetch failed, or the source is a VM that sends no
-                heartbeats or does not deliver changes that other VMs have.
+                heartbeats, has lost the store that another VM reaches, or does not
+                deliver changes that other VMs have.
         """
         if source.is_store:
             await self._fetch(source, replica)
@@ -184,14 +185,29 @@
             while not fetching.done():
                 await asyncio.wait((fetching,), timeout=CHECK_INTERVAL_S)
                 stale_checks = stale_checks + 1 if self._is_stale(replica) else 0
-                silent = not self._peers.is_alive(source.name)
-                if not fetching.done() and (silent or stale_checks >= STALE_CHECKS_MAX):
-                    detail = "silent" if silent else "other VMs have newer changes"
+                if fetching.done():
+                    break
+                if not self._peers.is_alive(source.name):
+                    raise ExternalError(ErrorKind.PLATFORM_AWAY, "silent")
+                if self._has_lost_store(source.name):
+                    raise ExternalError(ErrorKind.PLATFORM_AWAY, "has lost the store")
+                if stale_checks >= STALE_CHECKS_MAX:
+                    detail = "other VMs have newer changes"
                     raise ExternalError(ErrorKind.PLATFORM_AWAY, detail)
             fetching.result()
         finally:
             fetching.cancel()
 
+    def _has_lost_store(self, name):
+        """Whether another VM does not reach the store while some VM does.
+
+        Its copy grows old, and following it would look like an outage of the store.
+        """
+        members = self._peers.alive
+        if name not in members or members[name].store_reached:
+            return False
+        return any(member.store_reached for member in members.values())
+
     def _is_stale(self, replica):
         """Whether another VM's heartbeat states a change that this copy lacks."""
         fields = MEMBER_FIELDS[replica.name]
--- /dev/null
+++ b/tests/gateway/test_table_sync.py
@@ -0,0 +1,50 @@
+"""Test which VM's copy is followed, without sockets."""
+
+import asyncio
+import types
+
+import attrs
+
+from sesamespring.gateway import table_sync
+from sesamespring.gateway.replica import TableReplica
+from sesamespring.gateway.table_sync import STARTUP_DELAY_S, TableSync
+from sesamespring.platform.rows import TableChanges
+from sesamespring.routing.membership import Member
+
+OWN = Member("own", ("own", 1), 80, "dc-c", 1, 1, 0.1, True, False, True, 0, 0)
+
+
+def test_vm_leaves_one_that_has_lost_the_store_before_its_poll_ends(monkeypatch):
+    polled = []
+
+    class SlowClient:
+        def __init__(self, address, timeout_s, on_call=None):
+            self._address = address
+
+        async def poll_changes(self, table, after, wait_s):
+            polled.append(self._address)
+            await asyncio.sleep(60.0)
+
+    async def main():
+        others = {
+            name: attrs.evolve(OWN, name=name, address=(name, 1), cores=1.0)
+            for name in ("a", "b", "c")
+        }
+        peers = types.SimpleNamespace(alive=others, own=OWN, is_alive=lambda name: True)
+        settings = types.SimpleNamespace(process_name="own", store_address=("s", 1))
+        log = types.SimpleNamespace(event=lambda event, **fields: None)
+        sync = TableSync(settings, None, peers, None, log, {})
+        replica = TableReplica("op")
+        replica.replace(TableChanges((), 1))
+        task = asyncio.create_task(sync.run(replica))
+        await asyncio.sleep(STARTUP_DELAY_S + 0.1)
+        (first,) = polled
+        lost = others[first[0]]
+        others[lost.name] = attrs.evolve(lost, store_reached=False)
+        await asyncio.sleep(0.6)
+        task.cancel()
+        assert len(polled) > 1
+        assert first not in polled[1:]
+
+    monkeypatch.setattr(table_sync, "StoreClient", SlowClient)
+    asyncio.run(main())
