Log what a failed attempt asked for and where it came from

It now has a digest of method, host, path and body, and the caller's address. The digest is computed only for an attempt that failed.

No logic changes. tests/gateway, tests of the digest and of the log line pass.

--- a/sesamespring/gateway/bodies.py
+++ b/sesamespring/gateway/bodies.py
@@ -1,14 +1,36 @@
 """Buffer small request bodies so that they can be sent again; stream large ones."""
 
 import asyncio
+import functools
+
+import attrs
 
 from sesamespring.http.incoming import CallerDisconnected
 
-__all__ = ["read_body"]
+__all__ = ["RequestBody", "read_body"]
 
 BUFFERED_BODY_BYTES_MAX = 512 * 1024
 
 
+@attrs.frozen
+class RequestBody:
+    """A request body, of which a long one is still being received.
+
+    Attributes:
+        start: Its bytes received so far: all of a body that is buffered.
+        pieces: Function that returns an asynchronous iterator over the whole of a
+            streamed body, or None if the body is buffered.
+    """
+
+    start: bytes
+    pieces: object = None
+
+    @property
+    def buffered(self):
+        """The complete body in bytes, or None if it is streamed."""
+        return self.start if self.pieces is None else None
+
+
 async def read_body(incoming, deadline_s, bytes_max):
     """Read a request body up to the buffering limit.
 
@@ -18,9 +40,7 @@
         bytes_max: Size limit of a streamed body, in bytes.
 
     Returns:
-        A pair: the complete body in bytes and None, or, for a body over
-        ``BUFFERED_BODY_BYTES_MAX``, None and a function that returns an asynchronous
-        iterator over the body.
+        The RequestBody; it is streamed if it is over ``BUFFERED_BODY_BYTES_MAX``.
 
     Raises:
         CallerDisconnected: The caller disconnected, or did not send the body before the
@@ -35,23 +55,23 @@
                 received.append(piece)
                 size += len(piece)
                 if size > BUFFERED_BODY_BYTES_MAX:
-                    return None, lambda: _iter_body(received, pieces, bytes_max)
+                    start = b"".join(received)
+                    rest = functools.partial(_iter_body, start, pieces, bytes_max)
+                    return RequestBody(start, rest)
     except TimeoutError:
         raise CallerDisconnected from None
-    return b"".join(received), None
+    return RequestBody(b"".join(received))
 
 
-async def _iter_body(received, pieces, bytes_max):
-    """Yield the buffered pieces of a body and then the rest as it arrives.
+async def _iter_body(start, pieces, bytes_max):
+    """Yield the buffered start of a body and then the rest as it arrives.
 
     Raises:
         CallerDisconnected: The caller disconnected, or the body is larger than
             ``bytes_max``.
     """
-    size = 0
-    for piece in received:
-        size += len(piece)
-        yield piece
+    size = len(start)
+    yield start
     async for piece in pieces:
         size += len(piece)
         if size > bytes_max:
--- a/sesamespring/gateway/forwarding.py
+++ b/sesamespring/gateway/forwarding.py
@@ -163,16 +163,17 @@
         arrived_s = incoming.arrived_s
         deadline_s = arrived_s + min(timeout_s, route.timeout_s)
         limit = self._context.cluster_state.configuration.limits.body_bytes_max
-        body, pieces = await read_body(incoming, deadline_s, limit)
+        body = await read_body(incoming, deadline_s, limit)
+        self._report.body_start = body.start
         headers = end_to_end_headers(incoming.headers)
         self._outgoing = OutgoingRequest(
             method=incoming.method,
             target=incoming.target,
             headers=without_framing(headers),
             request_id=self._report.request_id,
-            body=body,
+            body=body.buffered,
             framing=[pair for pair in incoming.headers if pair[0] in FRAMING_HEADERS],
-            pieces=pieces,
+            pieces=body.pieces,
             idempotent=route.idempotent,
         )
         request = ScheduledRequest(
--- a/sesamespring/gateway/request_report.py
+++ b/sesamespring/gateway/request_report.py
@@ -1,6 +1,10 @@
 """Count and log what happens to one request of a caller."""
 
 import asyncio
+import functools
+
+from sesamespring.http.headers import header
+from sesamespring.routing.request_content import content_id
 
 __all__ = ["RequestReport"]
 
@@ -18,6 +22,8 @@
         service: Name of the service, or an empty string.
         decider: Name of the VM that scheduled the request last; ``here`` for this VM.
         attempts: Number of attempts that were started.
+        body_start: The part of the body that was received before the first attempt, in
+            bytes.
     """
 
     def __init__(self, incoming, context):
@@ -26,10 +32,18 @@
         self.service = ""
         self.decider = "here"
         self.attempts = 0
+        self.body_start = b""
         self._incoming = incoming
         self._context = context
         self._loop = asyncio.get_running_loop()
 
+    @functools.cached_property
+    def content_id(self):
+        """Id of what the request asks for; not computed before it is needed."""
+        incoming = self._incoming
+        host = header(incoming.headers, b"host", "").lower()
+        return content_id(incoming.method, host, incoming.target, self.body_start)
+
     def attempt_started(self, dispatch):
         """Count and log an attempt.
 
@@ -63,6 +77,8 @@
         self._context.log.event(
             "attempt-failed",
             request=self._request_id_text(),
+            content=self.content_id,
+            caller=self._incoming.caller_ip,
             target=result.entry.id,
             outcome=outcome,
             reason=result.reason,
--- a/sesamespring/http/incoming.py
+++ b/sesamespring/http/incoming.py
@@ -65,6 +65,11 @@
         """Pairs of lower-case name and value, in bytes."""
         return self.head.headers
 
+    @property
+    def caller_ip(self):
+        """IP address that the caller's connection comes from, as text."""
+        return self._connection.caller_ip
+
     @property
     def response_started(self):
         """Whether a response has been started."""
--- a/sesamespring/http/pipeline.py
+++ b/sesamespring/http/pipeline.py
@@ -64,6 +64,12 @@
         """Whether the connection closes after the response to a request."""
         return self.closing and bool(self._pending) and self._pending[-1] is request
 
+    @property
+    def caller_ip(self):
+        """IP address of the other side as text; empty if it was lost at once."""
+        peer = self._transport.get_extra_info("peername")
+        return peer[0] if peer else ""
+
     @property
     def idle(self):
         """Whether no request is in progress and no head is being received."""
--- a/tests/gateway/test_event_log.py
+++ b/tests/gateway/test_event_log.py
@@ -3,6 +3,7 @@
 import os
 
 from sesamespring.gateway.event_log import LINES_BURST, EventLog
+from tests.gateway.test_forwarding import run_scenario
 
 
 class Clock:
@@ -66,3 +67,30 @@
     assert log.dropped > 0
     os.close(reading)
     os.close(writing)
+
+
+def test_failed_attempts_at_the_same_content_have_the_same_id_in_the_log(capfd):
+    async def scenario(cluster):
+        for target in cluster.targets:
+            target.choose_fault = lambda received: "reset"
+        for request_id in ("r1", "r2"):
+            await cluster.call(cluster.ips[0], request_id, path="/read/same")
+        await cluster.call(cluster.ips[0], "r3", path="/read/other")
+
+    run_scenario(scenario)
+    lines = [
+        line for line in capfd.readouterr().out.splitlines() if "attempt-failed" in line
+    ]
+    contents = {
+        request_id: {
+            word
+            for line in lines
+            if f"request={request_id} " in line
+            for word in line.split()
+            if word.startswith("content=")
+        }
+        for request_id in ("r1", "r2", "r3")
+    }
+    assert contents["r1"] == contents["r2"] != contents["r3"]
+    assert len(contents["r1"]) == len(contents["r3"]) == 1
+    assert all("caller=127." in line for line in lines)
