--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -63,12 +63,13 @@
         choose_fault: Function that is called with the ReceivedRequest and returns the
             fault to inject into its response, or None for a correct response:
             ``reset``, ``truncate``, ``unsigned``, ``fail``, ``unframed``, ``extra``,
-            ``other-id``, ``early``, ``silent``, ``close``, ``endless-head`` or
-            ``endless-body``.
+            ``other-id``, ``early``, ``silent``, ``close``, ``endless-head``,
+            ``endless-body`` or ``crash``, which ends the target.
         received: List of ReceivedRequest that it has started to run.
         arrivals: List of Arrival of all requests but health checks and those that
             expected another target.
         finished: List of the ids of requests that it has run to the end.
+        crashes: List of the times at which requests ended it, on the monotonic clock.
         cancelled: Number of requests whose client disconnected while they ran.
         overrun: Number of requests that arrived while no slot was free.
         connections: Number of connections opened to it so far.
@@ -93,6 +94,7 @@
         self.received = []
         self.arrivals = []
         self.finished = []
+        self.crashes = []
         self.cancelled = 0
         self.overrun = 0
         self.connections = 0
@@ -205,6 +207,10 @@
     async def _respond(self, fault, writer, request_id):
         signature = self._signature_headers(request_id)
         body = b"answer to " + request_id.encode()
+        if fault == "crash":
+            self.crashes.append(time.monotonic())
+            self.close()
+            return False
         if fault == "reset":
             writer.transport.abort()
             return False
