Keep a request that crashes targets from the others, at all VMs together

Cause: repeats of one content come under new request ids, at any VM. Each attempt knew only of itself and each VM forgot it with the request; attempts_max and the budget of extra attempts bound one request and a share of all, whatever the attempts did to the targets. Ruled out: our own second attempts alone (31 targets ended, an id ended two at most).

Change: an attempt whose connection broke connects once more; a refusal shows that the process has ended. VMs share which targets crashed under which content in records that merge in any order. After three, all VMs refuse the content at once, end the requests that wait and add no attempt.

The stand-in decides on the end after it has read the body.

--- a/sesamespring/gateway/attempt.py
+++ b/sesamespring/gateway/attempt.py
@@ -74,12 +74,19 @@
         entry: The TargetEntry that the request was sent to.
         response: The TargetResponse, or None if there is none to pass on.
         reason: Cause of a failure, for the log.
+        target_crashed: Whether the target's process ended while it had the request.
     """
 
     end: AttemptEnded
     entry: object
     response: TargetResponse | None
     reason: str = ""
+    target_crashed: bool = False
+
+    @property
+    def is_streamed(self):
+        """Whether the response has a body that is still being received."""
+        return self.response is not None and self.response.body is None
 
 
 class Attempt:
@@ -118,12 +125,21 @@
         except asyncio.CancelledError:
             return self._result(Outcome.CANCELLED, reason="cancelled")
         except (OSError, h11.ProtocolError) as error:
-            outcome = Outcome.BROKEN if self._sent else Outcome.NOT_SENT
-            return self._result(outcome, reason=str(error) or type(error).__name__)
+            return await self._failed_result(error)
         finally:
             if self._channel is not None:
                 self._channel.abort()
 
+    async def _failed_result(self, error):
+        """Return the AttemptResult after an error of the connection."""
+        reason = str(error) or type(error).__name__
+        if not self._sent:
+            return self._result(Outcome.NOT_SENT, reason=reason)
+        refused = isinstance(error, ConnectionRefusedError)
+        crashed = refused or await self._connections.refuses(self._entry)
+        result = self._result(Outcome.BROKEN, reason=reason)
+        return attrs.evolve(result, target_crashed=crashed)
+
     async def _send(self):
         idempotent = self._outgoing.idempotent
         channel = self._connections.take_idle(self._entry.key, idempotent)
--- a/sesamespring/gateway/connection_pool.py
+++ b/sesamespring/gateway/connection_pool.py
@@ -7,6 +7,8 @@
 __all__ = ["TargetConnectionPool"]
 
 CONNECT_TIMEOUT_S = 0.4
+# A process that has ended refuses connections within one round trip.
+REFUSAL_TIMEOUT_S = 0.1
 # Fractions of a target's idle timeout up to which a connection is reused. The margin is
 # larger for a non-idempotent request: it cannot be sent again if the target closes the
 # connection while the request is being sent.
@@ -63,6 +65,25 @@
         self._counters.add("target_connections")
         return await open_channel(address, CONNECT_TIMEOUT_S)
 
+    async def refuses(self, entry):
+        """Return whether a target refuses connections, as its process has ended.
+
+        If it accepts one, the Channel is kept for a request.
+
+        Args:
+            entry: The TargetEntry.
+        """
+        self._counters.add("target_connections")
+        try:
+            channel = await open_channel(entry.address, REFUSAL_TIMEOUT_S)
+        except ConnectionRefusedError:
+            return True
+        except OSError:
+            return False
+        channel.idle_since_s = asyncio.get_running_loop().time()
+        self._keep(entry, channel)
+        return False
+
     def put_back(self, entry, channel, idle_s):
         """Keep a Channel after a complete response, or close it.
 
@@ -74,14 +95,13 @@
             channel: The Channel.
             idle_s: The target's idle timeout in seconds, or None if not stated.
         """
-        channels = self._idle.setdefault(entry.key, [])
-        if not channel.reusable or len(channels) >= entry.slots + SPARE_CONNECTIONS:
+        if not channel.reusable:
             channel.abort()
             return
         channel.finish(asyncio.get_running_loop().time())
         if idle_s is not None:
             channel.idle_limit_s = idle_s
-        channels.append(channel)
+        self._keep(entry, channel)
 
     def drop(self, key):
         """Close all idle Channels to a target."""
@@ -96,3 +116,10 @@
     def close(self):
         """Close all idle Channels."""
         self.keep_only(())
+
+    def _keep(self, entry, channel):
+        channels = self._idle.setdefault(entry.key, [])
+        if len(channels) >= entry.slots + SPARE_CONNECTIONS:
+            channel.abort()
+        else:
+            channels.append(channel)
--- a/sesamespring/gateway/daemon.py
+++ b/sesamespring/gateway/daemon.py
@@ -14,6 +14,7 @@
 from sesamespring.gateway.datagrams import open_datagrams
 from sesamespring.gateway.event_log import EventLog
 from sesamespring.gateway.forwarding import GatewayContext, RequestForwarder
+from sesamespring.gateway.generated.ttypes import CrashRecords
 from sesamespring.gateway.http_handlers import (
     DIRECTORY_TTL_S,
     DirectoryHandler,
@@ -22,6 +23,7 @@
 )
 from sesamespring.gateway.peers import Peers
 from sesamespring.gateway.prober import Prober
+from sesamespring.gateway.request_quarantine import RequestQuarantine
 from sesamespring.gateway.services import Services
 from sesamespring.gateway.slot_client import SlotClient
 from sesamespring.gateway.slot_server import SlotServer
@@ -91,11 +93,13 @@
         self._cluster_state = ClusterState(self._log, self._cluster_state_changed)
         self._store = StoreClient(settings.store_address, STORE_TIMEOUT_S)
         self._limits = TargetLimits(self._counters, self._log)
+        self._quarantine = RequestQuarantine(self._counters, self._log)
         self._peers = Peers(
             settings,
             self._local_state,
             self._store,
             self._limits,
+            self._quarantine,
             self._log,
             self._peers_changed,
         )
@@ -117,6 +121,8 @@
         )
         self._limits.on_change = self._services.apply_limits
         self._limits.on_news = self._peers.broadcast_heartbeat
+        self._quarantine.on_news = self._peers.broadcast
+        self._peers.set_handler(CrashRecords, self._quarantine.handle_message)
         self._slot_client = SlotClient(
             self._services, self._peers, self._cluster_state, self._counters, self._log
         )
@@ -132,10 +138,12 @@
             self._slot_client,
             self._target_connections,
             self._limits,
+            self._quarantine,
             self._counters,
             self._log,
             settings.data_centre,
         )
+        self._quarantine.on_quarantined = self._context.content_quarantined
         self._callers = CallerConnections(
             self._serve, self._connections_max(), self._caller_limits
         )
@@ -260,6 +268,7 @@
             await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
             self._cluster_state.drop_expired()
             self._limits.drop_outdated(self._cluster_state.target_keys)
+            self._quarantine.drop_expired()
             self._counters.set("vms_heard", len(self._peers.alive))
             self._counters.set("requests_in_progress", self._callers.in_progress)
 
--- a/sesamespring/gateway/datagrams.thrift
+++ b/sesamespring/gateway/datagrams.thrift
@@ -10,6 +10,23 @@
   4: required double age_s
 }
 
+/* One lifetime of a target. */
+struct CrashedTarget {
+  1: required string target
+  2: required i64 born_ms
+}
+
+/* Which targets crashed while they ran requests that ask for the same. */
+struct RequestCrashes {
+  1: required string content
+  2: required i32 clearances
+  3: required list<CrashedTarget> crashed
+  4: required i32 trials
+  5: required i32 reservations
+  /* Seconds since its last change. */
+  6: required double age_s
+}
+
 struct Heartbeat {
   1: required string vm
   2: required string data_centre
@@ -27,6 +44,7 @@
   12: optional i32 operator_era = -1
   13: optional i32 targets_era = -1
   14: optional list<TargetLimit> limits
+  15: optional list<RequestCrashes> crash_records
 }
 
 /* Names VMs to one that has just started. */
@@ -88,6 +106,11 @@
   9: optional double cold_left_s
 }
 
+/* Tells of crashes before the next heartbeat does. */
+struct CrashRecords {
+  1: required list<RequestCrashes> records
+}
+
 /* Says that a request wants no slot any more. */
 struct SlotWithdrawn {
   1: required i64 request
@@ -102,4 +125,5 @@
   6: SlotRefused slot_refused
   7: SlotEnded slot_ended
   8: SlotWithdrawn slot_withdrawn
+  9: CrashRecords crash_records
 }
--- a/sesamespring/gateway/forwarding.py
+++ b/sesamespring/gateway/forwarding.py
@@ -18,6 +18,7 @@
     send_response,
     stream_response,
 )
+from sesamespring.gateway.content_admission import ContentAdmission
 from sesamespring.gateway.request_report import RequestReport
 from sesamespring.http.headers import FRAMING_HEADERS, end_to_end_headers, header
 from sesamespring.http.incoming import CallerDisconnected
@@ -46,6 +47,7 @@
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 CALLER_DISCONNECTED = object()
 DEADLINE_REACHED = object()
+CONTENT_QUARANTINED = object()
 
 
 @attrs.define
@@ -58,11 +60,13 @@
         slot_client: The SlotClient.
         target_connections: The TargetConnectionPool.
         limits: The TargetLimits.
+        quarantine: The RequestQuarantine.
         counters: The Counters.
         log: The EventLog.
         data_centre: Name of this VM's data centre.
         longest_timeouts_s: Dict by route name of the longest timeout that a caller has
             stated, in seconds.
+        forwarders: Set of the RequestForwarders that wait for a target or a response.
     """
 
     cluster_state: object
@@ -70,10 +74,17 @@
     slot_client: object
     target_connections: object
     limits: object
+    quarantine: object
     counters: object
     log: object
     data_centre: str
     longest_timeouts_s: dict = attrs.field(factory=dict)
+    forwarders: set = attrs.field(factory=set)
+
+    def content_quarantined(self, content):
+        """End the requests with this content that wait for a target."""
+        for forwarder in tuple(self.forwarders):
+            forwarder.content_quarantined(content)
 
 
 @attrs.frozen
@@ -107,6 +118,7 @@
         self._outgoing = None
         self._slot_request = None
         self._tasks = {}
+        self._admission = ContentAdmission(self._report, context)
         self._may_have_run = False
         self._failed_response = None
         self._last_reason = ""
@@ -165,6 +177,9 @@
         limit = self._context.cluster_state.configuration.limits.body_bytes_max
         body = await read_body(incoming, deadline_s, limit)
         self._report.body_start = body.start
+        if not self._admission.admit():
+            self._reject_quarantined()
+            return
         headers = end_to_end_headers(incoming.headers)
         self._outgoing = OutgoingRequest(
             method=incoming.method,
@@ -193,9 +208,11 @@
         self._slot_request = slot_client.submit(
             self._service, request, self._inbox.put_nowait
         )
+        self._context.forwarders.add(self)
         try:
             await self._process_messages()
         finally:
+            self._context.forwarders.discard(self)
             timer.cancel()
             slot_client.withdraw(self._slot_request)
             await self._cancel_attempts()
@@ -215,7 +232,8 @@
         while True:
             message = await self._inbox.get()
             if isinstance(message, Dispatch):
-                self._start_attempt(message)
+                if self._handle_dispatch(message):
+                    return
             elif isinstance(message, Refusal):
                 if self._handle_refusal(message):
                     return
@@ -228,11 +246,42 @@
                 if self._route.idempotent or not self._tasks:
                     self._report.finished(0, "caller-gone")
                     return
+            elif message is CONTENT_QUARANTINED:
+                if not self._tasks and not self._admission.is_permitted():
+                    self._reject_quarantined()
+                    return
             elif message is DEADLINE_REACHED:
                 self._handle_deadline()
                 return
 
+    def content_quarantined(self, content):
+        """End the request if it has this content and waits for a target."""
+        if self._report.content_id == content:
+            self._inbox.put_nowait(CONTENT_QUARANTINED)
+
+    def _reject_quarantined(self):
+        """Send the final response to a request that is kept from targets."""
+        self._context.counters.add("quarantined_requests", service=self._service)
+        self._respond_finally("quarantined", self._admission.retry_after_s)
+
+    def _handle_dispatch(self, dispatch):
+        """Start an attempt unless the content is kept back.
+
+        Returns:
+            Whether the request is done.
+        """
+        if self._admission.is_permitted():
+            self._start_attempt(dispatch)
+            return False
+        unused = AttemptEnded(dispatch.attempt, Outcome.CANCELLED, 0.0)
+        self._context.slot_client.finish_attempt(self._slot_request, unused)
+        if self._tasks:
+            return False
+        self._reject_quarantined()
+        return True
+
     def _start_attempt(self, dispatch):
+        self._admission.attempt_started()
         attempt = Attempt(
             dispatch,
             self._outgoing,
@@ -258,6 +307,9 @@
             return
         result = task.result()
         self._context.limits.record_response(result.entry.key, result.end.limit_per_s)
+        if not result.is_streamed:
+            outcome = result.end.outcome
+            self._admission.attempt_ended(result.entry, outcome, result.target_crashed)
         self._inbox.put_nowait(result)
 
     def _handle_refusal(self, refusal):
@@ -270,15 +322,7 @@
             return False
         self._report.decider = self._decider
         self._report.slot_refused(refusal)
-        if self._failed_response is not None:
-            self._send_failed_response()
-        elif self._may_have_run:
-            self._respond_locally(_LocalResponse(502, self._last_reason))
-        else:
-            retry_after_s = refusal.retry_after_s
-            self._respond_locally(
-                _LocalResponse(503, refusal.reason.value, retry_after_s)
-            )
+        self._respond_finally(refusal.reason.value, refusal.retry_after_s)
         return True
 
     async def _handle_result(self, result):
@@ -286,7 +330,7 @@
         self._tasks.pop(result.end.attempt, None)
         outcome = result.end.outcome
         self._report.attempt_ended(result, failed=outcome is not Outcome.ANSWERED)
-        if result.response is not None and result.response.body is None:
+        if result.is_streamed:
             return await self._stream_response(result)
         self._context.slot_client.finish_attempt(self._slot_request, result.end)
         if outcome is Outcome.ANSWERED:
@@ -318,19 +362,30 @@
         elif may_retry:
             may_retry = self._context.slot_client.may_retry(self._slot_request)
         body_buffered = self._outgoing.body is not None
+        if not self._admission.is_permitted():
+            self._reject_quarantined()
+            return True
         if may_retry and body_buffered and self._report.attempts < ATTEMPTS_TOTAL_MAX:
             self._context.slot_client.resubmit(self._slot_request)
             return False
+        # No attempt is left here, but another target may run it at once.
+        self._respond_finally(self._last_reason, RETRY_AFTER_NO_ATTEMPT_S)
+        return True
+
+    def _respond_finally(self, reason, retry_after_s):
+        """Send the final response to a request that is not sent to a target again.
+
+        Args:
+            reason: Why not, for the log.
+            retry_after_s: Seconds after which the caller may try again, told only if
+                the request has not run.
+        """
         if self._failed_response is not None:
             self._send_failed_response()
         elif self._may_have_run:
             self._respond_locally(_LocalResponse(502, self._last_reason))
         else:
-            # No attempt is left here, but another target may run it at once.
-            self._respond_locally(
-                _LocalResponse(503, self._last_reason, RETRY_AFTER_NO_ATTEMPT_S)
-            )
-        return True
+            self._respond_locally(_LocalResponse(503, reason, retry_after_s))
 
     def _handle_deadline(self):
         running = bool(self._tasks) or self._may_have_run
@@ -354,6 +409,7 @@
     async def _stream_response(self, result):
         """Stream a response to the caller and return True, as it is the final one."""
         outcome = Outcome.BROKEN
+        crashed = False
         self._cancel_others(result.end.attempt)
         channel = result.response.channel
         deadline_s = self._slot_request.request.deadline_s
@@ -363,6 +419,8 @@
             self._report.finished(result.response.status, "answered")
         except ResponseAborted as error:
             self._report.finished(0, str(error))
+            if channel.failed:
+                crashed = await self._context.target_connections.refuses(result.entry)
         finally:
             if outcome is Outcome.BROKEN:
                 channel.abort()
@@ -370,6 +428,7 @@
                 self._context.target_connections.put_back(result.entry, channel, None)
             end = attrs.evolve(result.end, outcome=outcome)
             self._context.slot_client.finish_attempt(self._slot_request, end)
+            self._admission.attempt_ended(result.entry, outcome, crashed)
         return True
 
     def _cancel_others(self, attempt):
@@ -387,10 +446,7 @@
         while not self._inbox.empty():
             message = self._inbox.get_nowait()
             if isinstance(message, AttemptResult):
-                if (
-                    message.response is not None
-                    and message.response.channel is not None
-                ):
+                if message.is_streamed:
                     message.response.channel.abort()
                 self._context.slot_client.finish_attempt(
                     self._slot_request, message.end
--- a/sesamespring/gateway/peers.py
+++ b/sesamespring/gateway/peers.py
@@ -37,16 +37,20 @@
             dict.
         store: The StoreClient with which this VM registers its address.
         limits: The TargetLimits that heartbeats carry.
+        quarantine: The RequestQuarantine whose records heartbeats carry.
         log: The EventLog.
         on_change: Function without arguments, called when a VM appears, becomes silent
             or changes its state.
     """
 
-    def __init__(self, settings, local_state, store, limits, log, on_change):
+    def __init__(
+        self, settings, local_state, store, limits, quarantine, log, on_change
+    ):
         self._settings = settings
         self._local_state = local_state
         self._store = store
         self._limits = limits
+        self._quarantine = quarantine
         self._log = log
         self._on_change = on_change
         self._incarnation = time.time_ns() // 1_000_000
@@ -122,6 +126,10 @@
         """Send a message to the VM at ``address``, a pair of IP and port."""
         self._socket.send(message, address)
 
+    def broadcast(self, message):
+        """Send a message to all VMs that are alive."""
+        self._socket.send(message, *(m.address for m in self._alive.values()))
+
     def broadcast_heartbeat(self):
         """Send a heartbeat to all VMs, to silent ones only at their longer interval."""
         self._sequence += 1
@@ -198,6 +206,7 @@
             targets_era=own.targets_era,
             callers_port=own.callers_port,
             limits=self._limits.for_heartbeat(),
+            crash_records=self._quarantine.for_heartbeat(),
         )
 
     def _expire_addresses(self):
@@ -233,8 +242,10 @@
         now_s = self._loop.time()
         fields = dict(vars(message))
         limits = fields.pop("limits") or []
+        crash_records = fields.pop("crash_records") or []
         member = Member(name=fields.pop("vm"), address=address, **fields)
         self._limits.record_heartbeat(limits, member.name)
+        self._quarantine.record_heartbeat(crash_records, member.name)
         is_new = address not in self._last_received_s
         self._last_received_s[address] = now_s
         self._addresses.add(address)
@@ -271,6 +282,7 @@
             self._log.event("vm-silent", peer=name)
         for name in alive.keys() - before.keys():
             self._log.event("vm-heard", peer=name, incarnation=alive[name].incarnation)
+            self._quarantine.repeat_all()
         if _states(before) != _states(alive):
             self._on_change()
 
--- a/sesamespring/gateway/request_report.py
+++ b/sesamespring/gateway/request_report.py
@@ -81,6 +81,7 @@
             caller=self._incoming.caller_ip,
             target=result.entry.id,
             outcome=outcome,
+            target_crashed=result.target_crashed,
             reason=result.reason,
             taken_s=result.end.taken_s,
         )
--- a/sesamespring/http/channel.py
+++ b/sesamespring/http/channel.py
@@ -87,6 +87,11 @@
         """Whether the connection is open and no exchange is in progress."""
         return self._error is None and self._h11 is None
 
+    @property
+    def failed(self):
+        """Whether the connection failed or was closed by the server."""
+        return self._error is not None
+
     @property
     def reusable(self):
         """Whether the response was read completely and no bytes follow it.
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -63,8 +63,10 @@
         choose_fault: Function that is called with the ReceivedRequest and returns the
             fault to inject into its response, or None for a correct response:
             ``reset``, ``truncate``, ``unsigned``, ``fail``, ``unframed``, ``extra``,
-            ``other-id``, ``early``, ``silent``, ``close``, ``endless-head``,
-            ``endless-body`` or ``crash``, which ends the target.
+            ``other-id``, ``early``, ``silent``, ``close``, ``endless-head`` or
+            ``endless-body``.
+        ends_on: Function that is called with the ReceivedRequest and its body, and
+            returns whether running it ends the target.
         received: List of ReceivedRequest that it has started to run.
         arrivals: List of Arrival of all requests but health checks and those that
             expected another target.
@@ -91,6 +93,7 @@
         self.service_time_s = service_time_s
         self.slots = slots
         self.choose_fault = lambda received: None
+        self.ends_on = lambda received: False
         self.received = []
         self.arrivals = []
         self.finished = []
@@ -113,6 +116,11 @@
         """Listen on an address."""
         self._server = await asyncio.start_server(self._serve_connection, host, port)
 
+    def end(self):
+        """End as a crashed process does, and record the time."""
+        self.crashes.append(time.monotonic())
+        self.close()
+
     def close(self):
         """Stop listening and abort all connections."""
         self._server.close()
@@ -185,6 +193,9 @@
             await self._wait_service_time(reader)
         finally:
             self._running -= 1
+        if self.ends_on(received):
+            self.end()
+            return False
         self.finished.append(request_id)
         return await self._respond(fault, writer, request_id)
 
@@ -207,10 +218,6 @@
     async def _respond(self, fault, writer, request_id):
         signature = self._signature_headers(request_id)
         body = b"answer to " + request_id.encode()
-        if fault == "crash":
-            self.crashes.append(time.monotonic())
-            self.close()
-            return False
         if fault == "reset":
             writer.transport.abort()
             return False
--- /dev/null
+++ b/tests/routing/test_quarantine.py
@@ -0,0 +1,167 @@
+"""Test when requests that crash targets are kept back, tried again and cleared."""
+
+import functools
+import itertools
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from sesamespring.routing.quarantine import (
+    CRASHES_MAX,
+    MEMORY_S,
+    RECORDS_MAX,
+    RESERVATION_S,
+    TRIALS_MAX,
+    Admission,
+    CrashRecord,
+    Quarantine,
+)
+
+CONTENT = "c1"
+HOUR_S = 3600.0
+
+
+def key(number):
+    return (f"t{number}", 1)
+
+
+def quarantined(now_s=0.0):
+    """Return a Quarantine in which ``CONTENT`` has just been quarantined."""
+    quarantine = Quarantine()
+    for number in range(CRASHES_MAX):
+        quarantine.record_crash(CONTENT, key(number), now_s)
+    return quarantine
+
+
+def run_trial(quarantine, now_s):
+    """Return whether a request is sent at a time, as a trial."""
+    record = quarantine.reserve_trial(CONTENT, now_s)
+    if record is None:
+        return False
+    admission = Admission(True, record.trials, now_s + RESERVATION_S)
+    assert quarantine.permits(CONTENT, admission, now_s)
+    quarantine.record_trial(CONTENT, now_s)
+    return True
+
+
+def test_content_is_quarantined_after_three_targets_and_not_before():
+    quarantine = Quarantine()
+    for number in range(CRASHES_MAX):
+        assert not quarantine.is_quarantined(CONTENT)
+        quarantine.record_crash(CONTENT, key(number), 0.0)
+    assert quarantine.is_quarantined(CONTENT)
+    assert not quarantine.is_quarantined("other")
+
+
+def test_one_target_counts_once_whoever_reports_it():
+    quarantine = Quarantine()
+    for _ in range(5):
+        quarantine.record_crash(CONTENT, key(1), 0.0)
+    assert not quarantine.is_quarantined(CONTENT)
+
+
+def test_completion_clears_the_content_and_its_earlier_crashes():
+    quarantine = quarantined()
+    quarantine.record_completion(CONTENT, 1.0)
+    assert not quarantine.is_quarantined(CONTENT)
+    quarantine.record_crash(CONTENT, key(9), 2.0)
+    assert not quarantine.is_quarantined(CONTENT)
+
+
+def test_completion_of_an_unknown_content_is_not_recorded():
+    quarantine = Quarantine()
+    assert quarantine.record_completion(CONTENT, 0.0) is None
+    assert quarantine.empty
+
+
+def test_trials_that_crash_a_target_are_few_and_further_and_further_apart():
+    quarantine = quarantined()
+    times = [
+        at_s
+        for at_s in range(int(HOUR_S / 2))
+        if run_trial(quarantine, at_s)
+        and quarantine.record_crash(CONTENT, key(100 + at_s), at_s) is not False
+    ]
+    gaps = [after - before for before, after in itertools.pairwise([0, *times])]
+    assert len(times) == TRIALS_MAX
+    assert gaps == sorted(gaps)
+    assert gaps[0] <= 3
+
+
+def test_one_request_at_a_time_is_chosen_for_a_trial():
+    quarantine = quarantined()
+    assert quarantine.reserve_trial(CONTENT, 2.0) is not None
+    assert quarantine.reserve_trial(CONTENT, 2.1) is None
+    # The chosen one was not sent.
+    assert quarantine.reserve_trial(CONTENT, 2.0 + RESERVATION_S) is not None
+
+
+def test_permission_for_a_trial_is_void_after_its_time_and_after_another_trial():
+    quarantine = quarantined()
+    record = quarantine.reserve_trial(CONTENT, 2.0)
+    admission = Admission(True, record.trials, 2.0 + RESERVATION_S)
+    assert not quarantine.permits(CONTENT, admission, 2.0 + RESERVATION_S)
+    assert quarantine.permits(CONTENT, admission, 2.1)
+    quarantine.record_trial(CONTENT, 2.1)
+    assert not quarantine.permits(CONTENT, admission, 2.2)
+
+
+def test_request_that_waited_when_its_content_was_quarantined_is_not_permitted():
+    assert not quarantined().permits(CONTENT, Admission(True), 0.0)
+
+
+def test_records_are_forgotten_after_some_time():
+    quarantine = quarantined()
+    quarantine.drop_expired(MEMORY_S - 1)
+    assert quarantine.is_quarantined(CONTENT)
+    quarantine.drop_expired(MEMORY_S)
+    assert quarantine.empty
+
+
+def test_number_of_records_is_bounded_and_the_quarantined_stay():
+    quarantine = quarantined()
+    for number in range(RECORDS_MAX + 10):
+        quarantine.record_crash(f"other-{number}", key(1), 1.0 + number)
+    assert quarantine.is_quarantined(CONTENT)
+    assert len(quarantine.changed_since(-1.0, 10 * RECORDS_MAX)) == RECORDS_MAX
+
+
+def test_messages_name_the_contents_with_the_most_crashes_first():
+    quarantine = quarantined()
+    for number in range(5):
+        quarantine.record_crash(f"other-{number}", key(1), 1.0 + number)
+    found = [record.content for record in quarantine.changed_since(-1.0, 3)]
+    assert found == [CONTENT, "other-4", "other-3"]
+    assert quarantine.changed_since(4.5, 3)[0].content == "other-4"
+
+
+records = st.builds(
+    CrashRecord,
+    content=st.just(CONTENT),
+    clearances=st.integers(0, 2),
+    crashed=st.frozensets(st.integers(0, 5).map(key), max_size=CRASHES_MAX),
+    trials=st.integers(0, TRIALS_MAX),
+    reservations=st.integers(0, 2),
+    changed_s=st.floats(0, 10),
+)
+
+
+def shared_part(record):
+    """Return what all VMs must agree on, without the times of one VM."""
+    return record.clearances, record.crashed, record.trials, record.reservations
+
+
+@given(st.lists(records, min_size=1, max_size=5), st.randoms())
+def test_vms_agree_whatever_the_order_and_number_of_messages(messages, random):
+    repeated = messages + random.choices(messages, k=3)
+    random.shuffle(repeated)
+    merged = functools.reduce(CrashRecord.merge, messages)
+    other = functools.reduce(CrashRecord.merge, repeated)
+    assert shared_part(merged) == shared_part(other)
+
+
+@given(st.lists(records, max_size=5), records)
+def test_merging_never_loses_a_quarantine_but_by_a_clearance(messages, record):
+    merged = functools.reduce(CrashRecord.merge, messages, record)
+    if merged.clearances == record.clearances:
+        assert merged.quarantined >= record.quarantined
