--- a/sesamespring/routing/retry_budget.py
+++ b/sesamespring/routing/retry_budget.py
@@ -15,7 +15,8 @@
     """The extra attempts that one VM may make for one service.
 
     Each VM may spend a fixed ratio of its own requests, so that all VMs together stay
-    within that ratio. The slack is divided evenly among the VMs.
+    within that ratio. The slack is divided evenly among all VMs that are known, heard
+    or not.
 
     Args:
         ratio: Extra attempts allowed for each request.
--- a/sesamespring/routing/scheduler.py
+++ b/sesamespring/routing/scheduler.py
@@ -76,6 +76,15 @@
         self._vms_known = 1
         self._last_full_plan_s = -math.inf
 
+    @property
+    def _sharing_vms(self):
+        """Number of VMs that may spend the slack of extra attempts.
+
+        Those not heard count too, as they may be serving in another part of a divided
+        network.
+        """
+        return max(self._vms, self._vms_known)
+
     @property
     def waiting(self):
         """Number of requests that wait for a slot."""
@@ -248,7 +257,7 @@
         """Return whether a request may be retried at another target."""
         if request.attempts_left <= 0 or request.deadline_s <= now_s:
             return False
-        return self._budget.allows(now_s, self._vms)
+        return self._budget.allows(now_s, self._sharing_vms)
 
     def _is_full_plan_due(self, now_s):
         """Return whether to plan the whole queue now, and not just its head."""
@@ -282,7 +291,7 @@
 
     def _send(self, assignment, now_s, commands):
         request, slot = assignment.request, assignment.slot
-        if request.extra and not self._budget.spend(now_s, self._vms):
+        if request.extra and not self._budget.spend(now_s, self._sharing_vms):
             del self._waiting[request.number]
             reason = RefusalReason.NO_ATTEMPT_LEFT
             commands.append(Refusal(request, reason, RETRY_AFTER_MIN_S))
@@ -356,7 +365,7 @@
             stuck = elapsed_s > max(HEDGE_MIN_S, HEDGE_FACTOR * active.expected_s)
             if not stuck and not self._is_early_hedge_useful(request, slot, now_s):
                 continue
-            if not self._budget.spend(now_s, self._vms):
+            if not self._budget.spend(now_s, self._sharing_vms):
                 return
             commands.append(self._dispatch(request, slot, now_s, True))
             free.remove(slot)
--- a/tests/routing/test_retry_budget.py
+++ b/tests/routing/test_retry_budget.py
@@ -1,5 +1,8 @@
 """Test the limit on extra attempts, at one VM and over several VMs."""
 
+import pytest
+
+from sesamespring.routing.messages import Dispatch
 from sesamespring.routing.retry_budget import RetryBudget
 from tests.routing.support import make_request, make_scheduler, make_target
 
@@ -40,3 +43,28 @@
         )
     retried = make_request(now_s, timeout_s=9.0)
     assert not scheduler.may_retry(retried, now_s)
+
+
+def extra_attempts(scheduler, now_s):
+    """Return how many extra attempts a scheduler dispatches at once."""
+    count = 0
+    while True:
+        request = make_request(now_s, timeout_s=9.0, extra=True, counted_elsewhere=True)
+        (command,) = scheduler.submit(request, now_s)
+        if not isinstance(command, Dispatch):
+            return count
+        count += 1
+
+
+@pytest.mark.parametrize("vms", [12, 97])
+@pytest.mark.parametrize("parts", [1, 2, 3, 4, 12])
+def test_parts_of_a_divided_network_together_stay_within_the_slack(vms, parts):
+    slack = 56.0
+    total = 0
+    for number in range(vms):
+        heard = vms // parts + (number % parts < vms % parts)
+        scheduler = make_scheduler(make_target("a", slots=1000), retry_slack=slack)
+        is_decider = number < parts
+        scheduler.set_vms(heard, not is_decider, vms_known=vms)
+        total += extra_attempts(scheduler, 1.0)
+    assert total <= slack
