Let the VM that decides say whether a request is sent again

What callers saw: in fleets of more VMs than half of the slack (29 at 56, 82 at 162) a read whose target had failed was never sent to another one, unless the VM that took it decided itself.

Cause: a VM asked its own budget of extra attempts first. Its requests are counted by the VM that decides, so its own budget earns nothing, and its part of the slack is below one attempt. Ruled out: giving each VM a part of the ratio, as requests would count twice.

Change: a VM asks its own budget only while it decides on its own. The deciding VM refuses an extra attempt at once when its budget has none, not only when a slot is free.

Evidence: test_decider_and_not_the_budget_of_this_vm_limits_retries and test_retry_that_the_budget_does_not_allow_is_refused_at_once failed before and pass.

--- a/sesamespring/gateway/slot_client.py
+++ b/sesamespring/gateway/slot_client.py
@@ -142,9 +142,16 @@
         self._send_slot_wanted(slot_request)
 
     def may_retry(self, slot_request):
-        """Whether a request may be sent to another target after a failed attempt."""
+        """Whether a request may be sent to another target after a failed attempt.
+
+        The decider, which knows the attempts of all VMs, keeps to the budget; this VM
+        does so only where it decides on its own.
+        """
+        now_s = self._loop.time()
+        if self._usable_decider(slot_request.service) is not None:
+            return slot_request.request.may_be_sent(now_s)
         runner = self._services.runner(slot_request.service)
-        return runner.scheduler.may_retry(slot_request.request, self._loop.time())
+        return runner.scheduler.may_retry(slot_request.request, now_s)
 
     def finish_attempt(self, slot_request, end):
         """Report the end of an attempt to the VM that granted its slot, or locally.
--- a/sesamespring/routing/messages.py
+++ b/sesamespring/routing/messages.py
@@ -90,6 +90,10 @@
     data_centre: str = ""
     counted_elsewhere: bool = False
 
+    def may_be_sent(self, now_s):
+        """Return whether attempts and time are left."""
+        return self.attempts_left > 0 and now_s < self.deadline_s
+
 
 @attrs.frozen
 class AttemptEnded:
--- a/sesamespring/routing/scheduler.py
+++ b/sesamespring/routing/scheduler.py
@@ -201,6 +201,8 @@
             self._requests[request.number] = request
             if not request.counted_elsewhere:
                 self._budget.record_request(now_s)
+        if request.extra and not self._budget.allows(now_s, self._sharing_vms):
+            return [_no_attempt_left(request)]
         self._waiting[request.number] = request
         return self._serve_waiting(now_s, True)
 
@@ -255,7 +257,7 @@
 
     def may_retry(self, request, now_s):
         """Return whether a request may be retried at another target."""
-        if request.attempts_left <= 0 or request.deadline_s <= now_s:
+        if not request.may_be_sent(now_s):
             return False
         return self._budget.allows(now_s, self._sharing_vms)
 
@@ -293,8 +295,7 @@
         request, slot = assignment.request, assignment.slot
         if request.extra and not self._budget.spend(now_s, self._sharing_vms):
             del self._waiting[request.number]
-            reason = RefusalReason.NO_ATTEMPT_LEFT
-            commands.append(Refusal(request, reason, RETRY_AFTER_MIN_S))
+            commands.append(_no_attempt_left(request))
             return
         del self._waiting[request.number]
         commands.append(self._dispatch(request, slot, now_s, False))
@@ -461,6 +462,10 @@
             state.in_service = False
 
 
+def _no_attempt_left(request):
+    return Refusal(request, RefusalReason.NO_ATTEMPT_LEFT, RETRY_AFTER_MIN_S)
+
+
 def _is_failure(active, ended):
     """Return whether the end of an attempt counts against its target.
 
--- a/tests/gateway/test_slot_client.py
+++ b/tests/gateway/test_slot_client.py
@@ -46,10 +46,11 @@
 
 
 class Runner:
-    """A fake of ServiceRunner that grants each slot at once."""
+    """A fake of ServiceRunner that grants each slot at once, but no retry."""
 
     def __init__(self):
         self.ended = []
+        self.scheduler = types.SimpleNamespace(may_retry=lambda request, now_s: False)
 
     def next_number(self):
         return 1
@@ -198,3 +199,22 @@
         assert (wanted.round, wanted.tried) == (2, ["t"])
 
     run_scenario(scenario, known=())
+
+
+def test_decider_and_not_the_budget_of_this_vm_limits_retries():
+    async def scenario(client, peers, runner):
+        slot_request = client.submit("s", request(), lambda command: None)
+        grant(peers)
+        assert client.may_retry(slot_request)
+        slot_request.request.attempts_left = 0
+        assert not client.may_retry(slot_request)
+
+    run_scenario(scenario)
+
+
+def test_budget_of_this_vm_limits_retries_while_the_decider_is_silent():
+    async def scenario(client, peers, runner):
+        slot_request, _ = await granted_then_scheduled_locally(client, peers)
+        assert not client.may_retry(slot_request)
+
+    run_scenario(scenario)
--- a/tests/routing/test_retry_budget.py
+++ b/tests/routing/test_retry_budget.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from sesamespring.routing.messages import Dispatch
+from sesamespring.routing.messages import Dispatch, RefusalReason
 from sesamespring.routing.retry_budget import RetryBudget
 from tests.routing.support import make_request, make_scheduler, make_target
 
@@ -68,3 +68,11 @@
         scheduler.set_vms(heard, not is_decider, vms_known=vms)
         total += extra_attempts(scheduler, 1.0)
     assert total <= slack
+
+
+def test_retry_that_the_budget_does_not_allow_is_refused_at_once():
+    scheduler = make_scheduler(make_target("a", slots=1), retry_slack=0.0)
+    scheduler.submit(make_request(), 0.0)
+    (command,) = scheduler.submit(make_request(timeout_s=9.0, extra=True), 0.1)
+    assert command.reason is RefusalReason.NO_ATTEMPT_LEFT
+    assert scheduler.waiting == 0
