Answer requests that wait to be accepted when a VM stops

Reported by operators of similar systems, and possible here: in a planned stop under load, requests that had just been accepted were cut off without an answer.

Cause: closing the listening socket resets the connections that the kernel holds for it; and a connection was closed as idle the moment after its response, also if its next request was on its way. Ruled out: a missing Connection: close (all responses of a stopping VM have it, and callers that keep to it lost nothing but in these two cases).

Change: the waiting connections are accepted before the socket is closed, a connection counts as idle after 0.2 s without a request, and the process waits for those that are not idle. Datagrams are not sent once the socket is closed; their timers raised errors then.

--- a/sesamespring/gateway/caller_connections.py
+++ b/sesamespring/gateway/caller_connections.py
@@ -1,12 +1,16 @@
 """Accept and limit the connections of a listening socket, and shut them down."""
 
 import asyncio
+import socket
 
 from sesamespring.http.pipeline import CallerConnection, ServerLimits
 
 __all__ = ["CallerConnections"]
 
 LISTEN_BACKLOG = 1024
+# A connection counts as idle after this time without a request, as its next request
+# may be on its way.
+IDLE_AFTER_S = 0.2
 DEFAULT_LIMITS = ServerLimits(16 * 1024, 3.0, 15.0)
 
 
@@ -28,6 +32,7 @@
         self._open = set()
         self._tasks = set()
         self._stopping = False
+        self._socket = None
         self._server = None
 
     @property
@@ -45,6 +50,14 @@
         """Number of requests that are being handled."""
         return len(self._tasks)
 
+    @property
+    def active(self):
+        """Whether a request is being handled, or may arrive at any moment."""
+        now_s = asyncio.get_running_loop().time()
+        return bool(self._tasks) or any(
+            not _is_idle(connection, now_s) for connection in self._open
+        )
+
     async def listen(self, address):
         """Listen on ``address``, a pair of IP and port.
 
@@ -52,8 +65,9 @@
             OSError: The address cannot be bound.
         """
         loop = asyncio.get_running_loop()
+        self._socket = socket.create_server(address, backlog=LISTEN_BACKLOG)
         self._server = await loop.create_server(
-            lambda: CallerConnection(self), *address, backlog=LISTEN_BACKLOG
+            self._make_connection, sock=self._socket, backlog=LISTEN_BACKLOG
         )
 
     def add(self, connection):
@@ -74,29 +88,60 @@
 
     def handle(self, request):
         """Start a task that responds to an IncomingRequest."""
-        task = asyncio.get_running_loop().create_task(self._handle(request))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._track(asyncio.get_running_loop().create_task(self._handle(request)))
 
     def stop_accepting(self):
-        """Close the listening socket; open connections continue."""
-        if self._server is not None:
-            self._server.close()
+        """Close the listening socket; open connections continue.
+
+        Connections that wait to be accepted are accepted first, as closing the socket
+        would reset them.
+        """
+        if self._server is None or not self._server.is_serving():
+            return
+        loop = asyncio.get_running_loop()
+        for sock in _accept_waiting(self._socket):
+            accepting = loop.connect_accepted_socket(self._make_connection, sock)
+            self._track(loop.create_task(accepting))
+        self._server.close()
 
     def stop(self):
         """Let each connection close after its responses in progress."""
         self._stopping = True
 
     def close_idle(self):
-        """Close the connections that have no request in progress."""
+        """Close the connections without a request for ``IDLE_AFTER_S``."""
+        now_s = asyncio.get_running_loop().time()
         for connection in tuple(self._open):
-            if connection.idle:
+            if _is_idle(connection, now_s):
                 connection.close()
 
     def close(self):
         """Close the socket, cancel all requests and abort all connections."""
-        self.stop_accepting()
+        if self._server is not None:
+            self._server.close()
         for task in self._tasks:
             task.cancel()
         for connection in tuple(self._open):
             connection.abort()
+
+    def _make_connection(self):
+        return CallerConnection(self)
+
+    def _track(self, task):
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def _is_idle(connection, now_s):
+    return connection.idle and now_s - connection.idle_since_s >= IDLE_AFTER_S
+
+
+def _accept_waiting(listening):
+    """Yield the sockets of the connections that wait at a listening socket."""
+    while True:
+        try:
+            accepted, _ = listening.accept()
+        except (BlockingIOError, ConnectionAbortedError):
+            return
+        accepted.setblocking(False)
+        yield accepted
--- a/sesamespring/gateway/daemon.py
+++ b/sesamespring/gateway/daemon.py
@@ -291,7 +291,7 @@
         self._callers.stop_accepting()
         self._callers.close_idle()
         last_s = started_s + grace_s - LAST_RESPONSES_S / 2
-        while self._callers.in_progress and loop.time() < last_s:
+        while self._callers.active and loop.time() < last_s:
             await asyncio.sleep(STOP_POLL_INTERVAL_S)
             self._callers.close_idle()
 
--- a/sesamespring/gateway/datagrams.py
+++ b/sesamespring/gateway/datagrams.py
@@ -49,7 +49,12 @@
         self._counters.add("undelivered_datagrams")
 
     def send(self, message, *addresses):
-        """Send a message to each of ``addresses``, pairs of IP and port."""
+        """Send a message to each of ``addresses``, pairs of IP and port.
+
+        Nothing is sent after ``close``, as timers may still be due then.
+        """
+        if self._transport.is_closing():
+            return
         data = _codec.encode(message)
         for address in addresses:
             self._transport.sendto(data, address)
