Keep the quarantine in the store for VMs that all start anew

A VM that starts anew hears the quarantine from the others, but when all are killed at once the request ended three targets and more again.

Change: the VM that quarantines, tries or clears a content writes or removes its row; each VM reads the rows at its start. Writes need no condition, as records merge.

--- a/sesamespring/gateway/daemon.py
+++ b/sesamespring/gateway/daemon.py
@@ -23,6 +23,7 @@
 )
 from sesamespring.gateway.peers import Peers
 from sesamespring.gateway.prober import Prober
+from sesamespring.gateway.quarantine_rows import QuarantineRows
 from sesamespring.gateway.request_quarantine import RequestQuarantine
 from sesamespring.gateway.services import Services
 from sesamespring.gateway.slot_client import SlotClient
@@ -94,6 +95,8 @@
         self._store = StoreClient(settings.store_address, STORE_TIMEOUT_S)
         self._limits = TargetLimits(self._counters, self._log)
         self._quarantine = RequestQuarantine(self._counters, self._log)
+        self._quarantine_rows = QuarantineRows(self._store, self._quarantine, self._log)
+        self._quarantine.on_changed = self._quarantine_rows.record_changed
         self._peers = Peers(
             settings,
             self._local_state,
@@ -178,6 +181,7 @@
             self._peers.run(),
             self._peers.register(),
             *(self._table_sync.run(r) for r in self._cluster_state.replicas.values()),
+            self._quarantine_rows.run(),
             self._prober.run(),
             self._run_housekeeping(),
         ]
--- a/sesamespring/gateway/request_quarantine.py
+++ b/sesamespring/gateway/request_quarantine.py
@@ -34,11 +34,14 @@
         on_quarantined: Function called with the id of a content after it was
             quarantined, or after its trial began.
         on_news: Function called with a message for all other VMs.
+        on_changed: Function called with each CrashRecord that has changed, and whether
+            this VM has changed it.
     """
 
     def __init__(self, counters, log):
         self.on_quarantined = lambda content: None
         self.on_news = lambda message: None
+        self.on_changed = lambda record, own: None
         self._counters = counters
         self._log = log
         self._loop = asyncio.get_running_loop()
@@ -50,6 +53,10 @@
         """Whether no request has crashed a target lately."""
         return self._quarantine.empty
 
+    def record(self, content):
+        """Return the CrashRecord of a content, or None."""
+        return self._quarantine.record(content)
+
     def is_quarantined(self, content):
         """Return whether requests with this content are kept from targets."""
         return self._quarantine.is_quarantined(content)
@@ -99,6 +106,12 @@
         """Merge the CrashRecords that another VM sends as soon as they change."""
         self.record_heartbeat(message.records, address[0])
 
+    def record_stored(self, record):
+        """Merge a CrashRecord that an earlier process has stored."""
+        merged = self._quarantine.merge(record)
+        if merged is not None:
+            self._report(merged, "store")
+
     def record_heartbeat(self, records, peer):
         """Merge the RequestCrashes of another VM's heartbeat.
 
@@ -132,9 +145,9 @@
         if record is None:
             return
         self.on_news(CrashRecords(records=[self._encode(record)]))
-        self._report(record, source)
+        self._report(record, source, own=True)
 
-    def _report(self, record, source):
+    def _report(self, record, source, own=False):
         self._log.event(
             "crash-record",
             content=record.content,
@@ -144,6 +157,7 @@
             clearances=record.clearances,
             source=source,
         )
+        self.on_changed(record, own)
         if record.quarantined:
             self.on_quarantined(record.content)
 
--- a/tests/gateway/test_quarantine.py
+++ b/tests/gateway/test_quarantine.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from sesamespring.gateway.quarantine_rows import QUARANTINE_TABLE
 from tests.gateway.test_faults import wait_until
 from tests.gateway.test_forwarding import run_scenario
 from tests.gateway.test_store_restored import restart
@@ -186,6 +187,41 @@
     run_with_restarts(scenario, vms=3, targets=6)
 
 
+def test_vms_that_have_all_started_again_know_the_quarantined_request():
+    async def scenario(cluster):
+        await send_fatal(cluster, 1.0)
+        before = len(ends(cluster))
+        for ip in cluster.ips:
+            await cluster.kill_vm(ip)
+        await restart(cluster, cluster.ips)
+        await send_fatal(cluster, 4.0)
+        # One trial became due.
+        assert len(ends(cluster)) <= before + 1
+
+    run_with_restarts(scenario, vms=3, targets=6)
+
+
+def test_served_request_is_not_quarantined_when_all_vms_start_again():
+    async def scenario(cluster):
+        await send_fatal(cluster, 1.0)
+        for target in cluster.targets:
+            target.ends_on = lambda received: False
+
+        async def is_served():
+            response = await cluster.call(cluster.ips[0], "probe", path=FATAL_PATH)
+            return response.status == 200
+
+        await wait_until(is_served)
+        await asyncio.sleep(0.5)
+        assert not cluster.store.rows(QUARANTINE_TABLE)
+        for ip in cluster.ips:
+            await cluster.kill_vm(ip)
+        await restart(cluster, cluster.ips)
+        assert await is_served()
+
+    run_with_restarts(scenario, vms=3, targets=6)
+
+
 def test_request_that_ran_where_targets_ended_by_coincidence_is_served_again():
     async def scenario(cluster):
         calls = [
