Do not pass on as complete a response whose target ended inside it

Reported by operators of similar systems, and possible here: an answer that broke off halfway reached the caller as a complete success.

Cause: a response without a length ends with its connection, and the kernel ends the connections of a process that was killed in the same way as those that it closed. Ruled out: responses with a length or in chunks (a cut is seen), and a reset (it is an error).

Change: after a response without a length, one more connection to the target is tried; if it is refused, the response counts as cut, buffered or streamed.

Evidence: test_response_without_length_is_incomplete_if_its_target_ended failed for a short and a streamed response (200, complete), and passes. What remains: a target whose process is back within a round trip, or that breaks off alone and closes cleanly, cannot be told apart.

Also new, and passing before: a second copy of a response that comes when the connection is in use again (late-copy) is not taken for the next request's.

--- a/sesamespring/gateway/attempt.py
+++ b/sesamespring/gateway/attempt.py
@@ -200,12 +200,16 @@
 
         Raises:
             h11.RemoteProtocolError: The responses received belong to other requests.
+            ConnectionRefusedError: The target's process ended inside a response that
+                does not say where its body ends.
         """
         for _ in range(STRAY_RESPONSES_MAX):
             head = await channel.receive_head()
             metadata = parse_response_headers(head.status_code, head.headers)
             body = await channel.read_body(BUFFERED_BYTES_MAX)
             if self._matches_request(metadata, is_first):
+                if body is not None and not channel.is_framed:
+                    await self._check_target_runs()
                 self._metadata = metadata
                 return self._classify(channel, head, metadata, body)
             if body is None:
@@ -214,6 +218,15 @@
             channel.discard_response()
         raise h11.RemoteProtocolError("target sent responses to other requests only")
 
+    async def _check_target_runs(self):
+        """Check that the connection ended with the response, and not with the target.
+
+        Raises:
+            ConnectionRefusedError: The target's process has ended.
+        """
+        if await self._connections.refuses(self._entry):
+            raise ConnectionRefusedError("target ended inside its response")
+
     def _matches_request(self, metadata, is_first):
         if metadata.request_id == self._outgoing.request_id:
             return True
--- a/sesamespring/gateway/caller_responses.py
+++ b/sesamespring/gateway/caller_responses.py
@@ -5,12 +5,11 @@
 import h11
 
 from sesamespring.gateway.attempt import without_framing
+from sesamespring.http.channel import BODILESS_STATUSES
 from sesamespring.http.headers import end_to_end_headers, header
 
 __all__ = ["ResponseAborted", "send_response", "stream_response"]
 
-BODILESS_STATUSES = (204, 304)
-
 
 class ResponseAborted(Exception):
     """Raised when a response was cut short and the caller's connection closed."""
@@ -31,13 +30,15 @@
     incoming.send_whole(response.status, without_framing(headers), response.body)
 
 
-async def stream_response(incoming, response, deadline_s):
+async def stream_response(incoming, response, deadline_s, has_target_ended):
     """Stream a response from its target to the caller.
 
     Args:
         incoming: The IncomingRequest.
         response: The TargetResponse with its Channel.
         deadline_s: Time on the loop's clock at which the caller stops waiting.
+        has_target_ended: Coroutine function that returns whether the target's process
+            has ended; called where only the end of the connection ends the body.
 
     Raises:
         ResponseAborted: The target or the caller failed, or the deadline passed.
@@ -51,6 +52,8 @@
             async for piece in response.channel.iter_body():
                 incoming.send_data(piece)
                 await incoming.drain()
+            if not response.channel.is_framed and await has_target_ended():
+                raise ConnectionResetError("target ended inside its response")
             incoming.send_end()
     except (OSError, TimeoutError, h11.ProtocolError) as error:
         # The caller must not take a truncated response for a complete one.
--- a/sesamespring/gateway/forwarding.py
+++ b/sesamespring/gateway/forwarding.py
@@ -1,6 +1,7 @@
 """Forward a caller's request to a target and send the response."""
 
 import asyncio
+import functools
 
 import attrs
 import h11
@@ -413,19 +414,23 @@
         self._cancel_others(result.end.attempt)
         channel = result.response.channel
         deadline_s = self._slot_request.request.deadline_s
+        connections = self._context.target_connections
+        has_target_ended = functools.partial(connections.refuses, result.entry)
         try:
-            await stream_response(self._incoming, result.response, deadline_s)
+            await stream_response(
+                self._incoming, result.response, deadline_s, has_target_ended
+            )
             outcome = result.end.outcome
             self._report.finished(result.response.status, "answered")
         except ResponseAborted as error:
             self._report.finished(0, str(error))
             if channel.failed:
-                crashed = await self._context.target_connections.refuses(result.entry)
+                crashed = await has_target_ended()
         finally:
             if outcome is Outcome.BROKEN:
                 channel.abort()
             else:
-                self._context.target_connections.put_back(result.entry, channel, None)
+                connections.put_back(result.entry, channel, None)
             end = attrs.evolve(result.end, outcome=outcome)
             self._context.slot_client.finish_attempt(self._slot_request, end)
             self._admission.attempt_ended(result.entry, outcome, crashed)
--- a/sesamespring/http/channel.py
+++ b/sesamespring/http/channel.py
@@ -8,7 +8,11 @@
 
 import h11
 
-__all__ = ["Channel", "ChannelClosed", "open_channel"]
+from sesamespring.http.headers import FRAMING_HEADERS
+
+__all__ = ["BODILESS_STATUSES", "Channel", "ChannelClosed", "open_channel"]
+
+BODILESS_STATUSES = (204, 304)
 
 # A host that has become unreachable neither acknowledges data nor resets the
 # connection. These TCP options make the kernel close it.
@@ -92,6 +96,18 @@
         """Whether the connection failed or was closed by the server."""
         return self._error is not None
 
+    @property
+    def is_framed(self):
+        """Whether the response says where its body ends.
+
+        Otherwise only the end of the connection shows it, and a body that was cut off
+        looks the same as a complete one.
+        """
+        if self._method == "HEAD" or self._response.status_code in BODILESS_STATUSES:
+            return True
+        names = {name for name, _ in self._response.headers}
+        return not names.isdisjoint(FRAMING_HEADERS)
+
     @property
     def reusable(self):
         """Whether the response was read completely and no bytes follow it.
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -63,8 +63,10 @@
         choose_fault: Function that is called with the ReceivedRequest and returns the
             fault to inject into its response, or None for a correct response:
             ``reset``, ``truncate``, ``unsigned``, ``fail``, ``unframed``, ``extra``,
-            ``other-id``, ``early``, ``silent``, ``close``, ``endless-head`` or
-            ``endless-body``.
+            ``other-id``, ``early``, ``silent``, ``close``, ``endless-head``,
+            ``endless-body``, ``unframed-end``, which ends the target inside a response
+            without length, or ``late-copy``, which sends the response again when the
+            next request arrives on the connection.
         ends_on: Function that is called with the ReceivedRequest and its body, and
             returns whether running it ends the target.
         received: List of ReceivedRequest that it has started to run.
@@ -78,6 +80,7 @@
         cold_left_ms: Remaining time of its cold start that its health check reports,
             in ms; 0 when it is warm.
         slowdown: Slowdown that it reports in its load header, in percent.
+        padding: Bytes at the end of the body of each response.
         leaving: Whether it states in each response that it is leaving.
         limit_per_s: Limit on requests per second that it states in each response, as
             the text of a decimal number, or None.
@@ -103,6 +106,7 @@
         self.connections = 0
         self.cold_left_ms = 0
         self.slowdown = 100
+        self.padding = b""
         self.leaving = False
         self.limit_per_s = None
         self.busy_s = None
@@ -111,6 +115,7 @@
         self._running = 0
         self._server = None
         self._writers = set()
+        self._late_copies = {}
 
     async def start(self, host, port):
         """Listen on an address."""
@@ -158,6 +163,8 @@
             headers = {"Sesamespring-Instance-Id": self.id}
             return await self._send(writer, 421, b"", headers)
         request_id = request_headers["sesamespring-request-id"]
+        if writer in self._late_copies:
+            await self._send(writer, 200, *self._late_copies.pop(writer))
         accepted = self._running < self.slots and self.busy_s is None
         self.arrivals.append(Arrival(time.monotonic(), request_id, accepted))
         if not accepted:
@@ -217,7 +224,7 @@
 
     async def _respond(self, fault, writer, request_id):
         signature = self._signature_headers(request_id)
-        body = b"answer to " + request_id.encode()
+        body = b"answer to " + request_id.encode() + self.padding
         if fault == "reset":
             writer.transport.abort()
             return False
@@ -234,6 +241,10 @@
             headers = {**signature, "Content-Length": str(len(body) + 10)}
             await self._write(writer, 200, body, headers)
             return False
+        if fault == "unframed-end":
+            await self._write(writer, 200, body[:-1], signature)
+            self.end()
+            return False
         if fault == "unframed":
             await self._write(writer, 200, body, signature)
             return False
@@ -253,6 +264,8 @@
         await self._send(writer, 200, body, signature)
         if fault == "extra":
             await self._send(writer, 200, b"extra", signature)
+        if fault == "late-copy":
+            self._late_copies[writer] = (body, signature)
         return True
 
     async def _write_endlessly(self, writer, start):
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -134,7 +134,29 @@
     run_scenario(scenario)
 
 
-@pytest.mark.parametrize("fault", ["extra", "other-id"])
+def is_complete_success(response):
+    """Return whether a caller takes a Response for complete; it may be chunked."""
+    chunked = "transfer-encoding" in response.headers
+    ended = not chunked or response.body.endswith(b"0\r\n\r\n")
+    return response.status == 200 and ended
+
+
+@pytest.mark.parametrize("size", [10, 600_000])
+def test_response_without_length_is_incomplete_if_its_target_ended(size):
+    async def scenario(cluster):
+        for target in cluster.targets:
+            target.choose_fault = lambda received: "unframed-end"
+            target.padding = b"x" * size
+        response = await cluster.call(
+            cluster.ips[0], "r1", path="/write/1", method="POST", body=b"x"
+        )
+        assert not is_complete_success(response)
+        assert len(cluster.runs) == 1
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("fault", ["extra", "other-id", "late-copy"])
 def test_responses_to_other_requests_are_discarded(fault):
     async def scenario(cluster):
         for target in cluster.targets:
