Split the forwarder: request checks, history of attempts, shared context

The check of a request's head, what failed attempts mean for the final response, and the state that requests share are modules of their own now; a pair became a type, and the freeing of an unused slot no longer stands twice.

--- /dev/null
+++ b/sesamespring/gateway/context.py
@@ -0,0 +1,42 @@
+"""State that all requests of a VM share."""
+
+import attrs
+
+__all__ = ["GatewayContext"]
+
+
+@attrs.define
+class GatewayContext:
+    """State shared by all requests of a VM.
+
+    Attributes:
+        cluster_state: The ClusterState.
+        routes: The RouteTable, or None before the first configuration.
+        slot_client: The SlotClient.
+        target_connections: The TargetConnectionPool.
+        limits: The TargetLimits.
+        quarantine: The RequestQuarantine.
+        counters: The Counters.
+        log: The EventLog.
+        data_centre: Name of this VM's data centre.
+        longest_timeouts_s: Dict by route name of the longest timeout that a caller has
+            stated, in seconds.
+        forwarders: Set of the RequestForwarders that wait for a target or a response.
+    """
+
+    cluster_state: object
+    routes: object
+    slot_client: object
+    target_connections: object
+    limits: object
+    quarantine: object
+    counters: object
+    log: object
+    data_centre: str
+    longest_timeouts_s: dict = attrs.field(factory=dict)
+    forwarders: set = attrs.field(factory=set)
+
+    def content_quarantined(self, content):
+        """End the requests with this content that wait for a target."""
+        for forwarder in tuple(self.forwarders):
+            forwarder.content_quarantined(content)
--- a/sesamespring/gateway/daemon.py
+++ b/sesamespring/gateway/daemon.py
@@ -10,10 +10,11 @@
 from sesamespring.gateway.caller_connections import CallerConnections
 from sesamespring.gateway.cluster_state import ClusterState
 from sesamespring.gateway.connection_pool import TargetConnectionPool
+from sesamespring.gateway.context import GatewayContext
 from sesamespring.gateway.counters import Counters
 from sesamespring.gateway.datagrams import open_datagrams
 from sesamespring.gateway.event_log import EventLog
-from sesamespring.gateway.forwarding import GatewayContext, RequestForwarder
+from sesamespring.gateway.forwarding import RequestForwarder
 from sesamespring.gateway.generated.ttypes import CrashRecords
 from sesamespring.gateway.http_handlers import (
     DIRECTORY_TTL_S,
--- a/sesamespring/gateway/forwarding.py
+++ b/sesamespring/gateway/forwarding.py
@@ -5,7 +5,7 @@
 
 import attrs
 import h11
-from returns.result import Failure, Success
+from returns.result import Failure
 
 from sesamespring.gateway.attempt import (
     Attempt,
@@ -13,6 +13,7 @@
     OutgoingRequest,
     without_framing,
 )
+from sesamespring.gateway.attempt_history import AttemptHistory, LocalResponse
 from sesamespring.gateway.bodies import read_body
 from sesamespring.gateway.caller_responses import (
     ResponseAborted,
@@ -20,14 +21,11 @@
     stream_response,
 )
 from sesamespring.gateway.content_admission import ContentAdmission
+from sesamespring.gateway.request_checks import check_request
 from sesamespring.gateway.request_report import RequestReport
-from sesamespring.http.headers import FRAMING_HEADERS, end_to_end_headers, header
+from sesamespring.http.headers import FRAMING_HEADERS, end_to_end_headers
 from sesamespring.http.incoming import CallerDisconnected
-from sesamespring.platform.headers import (
-    local_response_headers,
-    read_request_id,
-    read_timeout_s,
-)
+from sesamespring.platform.headers import local_response_headers, read_request_id
 from sesamespring.routing.messages import (
     AttemptEnded,
     Dispatch,
@@ -36,67 +34,16 @@
     ScheduledRequest,
 )
 
-__all__ = ["RequestForwarder", "GatewayContext"]
+__all__ = ["RequestForwarder"]
 
 ATTEMPTS_TOTAL_MAX = 6
 RETRY_AFTER_NO_SLOT_S = 0.5
-# A VM that has just started receives its configuration soon.
-RETRY_AFTER_STARTING_S = 0.2
 RETRY_AFTER_NO_ATTEMPT_S = 0.05
-# Statuses from which a caller concludes that its request has not run. A target's own
-# failure with one of them is not passed on, as the target may have run the request.
-NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 CALLER_DISCONNECTED = object()
 DEADLINE_REACHED = object()
 CONTENT_QUARANTINED = object()
 
 
-@attrs.define
-class GatewayContext:
-    """State shared by all requests of a VM.
-
-    Attributes:
-        cluster_state: The ClusterState.
-        routes: The RouteTable, or None before the first configuration.
-        slot_client: The SlotClient.
-        target_connections: The TargetConnectionPool.
-        limits: The TargetLimits.
-        quarantine: The RequestQuarantine.
-        counters: The Counters.
-        log: The EventLog.
-        data_centre: Name of this VM's data centre.
-        longest_timeouts_s: Dict by route name of the longest timeout that a caller has
-            stated, in seconds.
-        forwarders: Set of the RequestForwarders that wait for a target or a response.
-    """
-
-    cluster_state: object
-    routes: object
-    slot_client: object
-    target_connections: object
-    limits: object
-    quarantine: object
-    counters: object
-    log: object
-    data_centre: str
-    longest_timeouts_s: dict = attrs.field(factory=dict)
-    forwarders: set = attrs.field(factory=set)
-
-    def content_quarantined(self, content):
-        """End the requests with this content that wait for a target."""
-        for forwarder in tuple(self.forwarders):
-            forwarder.content_quarantined(content)
-
-
-@attrs.frozen
-class _LocalResponse:
-    """A response without body that this VM generates; ``reason`` is logged."""
-
-    status: int
-    reason: str
-    retry_after_s: float | None = None
-
-
 class RequestForwarder:
     """Forwards one request of a caller.
 
@@ -120,84 +67,47 @@
         self._slot_request = None
         self._tasks = {}
         self._admission = ContentAdmission(self._report, context)
-        self._may_have_run = False
-        self._failed_response = None
-        self._last_reason = ""
+        self._history = AttemptHistory()
 
     async def run(self):
         """Forward the request and respond, unless the caller disconnects."""
         try:
-            validated = self._validate()
-            if isinstance(validated, Failure):
-                self._respond_locally(validated.failure())
+            self._report.request_id = read_request_id(self._incoming.headers)
+            checked = check_request(self._incoming, self._context)
+            if isinstance(checked, Failure):
+                self._respond_locally(checked.failure())
                 return
-            await self._forward(*validated.unwrap())
+            await self._forward(checked.unwrap())
         except CallerDisconnected:
             self._report.finished(0, "caller-gone")
         except h11.ProtocolError as error:
             if self._incoming.response_started:
                 self._incoming.abort()
             else:
-                self._respond_locally(_LocalResponse(400, f"malformed body: {error}"))
-
-    def _validate(self):
-        """Check the request's head.
+                self._respond_locally(LocalResponse(400, f"malformed body: {error}"))
 
-        Returns:
-            Success of the pair of Route and timeout in seconds, or Failure of a
-            _LocalResponse.
-        """
-        context, incoming = self._context, self._incoming
-        configuration = context.cluster_state.configuration
-        if configuration is None or not context.cluster_state.ready:
-            return Failure(
-                _LocalResponse(503, "no-configuration", RETRY_AFTER_STARTING_S)
-            )
-        headers = incoming.headers
-        self._report.request_id = read_request_id(headers)
-        host = header(headers, b"host", "").lower()
-        route = context.routes.select(host, incoming.target)
-        if route is None:
-            return Failure(_LocalResponse(404, "no-route"))
-        if self._report.request_id is None:
-            return Failure(_LocalResponse(400, "no request id"))
-        length = header(headers, b"content-length", "0")
-        if int(length) > configuration.limits.body_bytes_max:
-            return Failure(_LocalResponse(413, "body-too-large"))
-        timeout_s = read_timeout_s(headers)
-        return Success((route, route.timeout_s if timeout_s is None else timeout_s))
-
-    async def _forward(self, route, timeout_s):
+    async def _forward(self, routed):
         incoming = self._incoming
-        self._route = route
+        route = self._route = routed.route
         self._service = self._context.routes.choose_service(route)
         self._report.route = route.name
         self._report.service = self._service
         arrived_s = incoming.arrived_s
-        deadline_s = arrived_s + min(timeout_s, route.timeout_s)
+        deadline_s = arrived_s + min(routed.timeout_s, route.timeout_s)
         limit = self._context.cluster_state.configuration.limits.body_bytes_max
         body = await read_body(incoming, deadline_s, limit)
         self._report.body_start = body.start
         if not self._admission.admit():
             self._reject_quarantined()
             return
-        headers = end_to_end_headers(incoming.headers)
-        self._outgoing = OutgoingRequest(
-            method=incoming.method,
-            target=incoming.target,
-            headers=without_framing(headers),
-            request_id=self._report.request_id,
-            body=body.buffered,
-            framing=[pair for pair in incoming.headers if pair[0] in FRAMING_HEADERS],
-            pieces=body.pieces,
-            idempotent=route.idempotent,
-        )
+        self._outgoing = self._make_outgoing(body)
+        elapsed_s = self._elapsed_at_caller_s(routed.timeout_s)
         request = ScheduledRequest(
             number=0,
             route=route.name,
             goal_s=route.goal_s,
             priority=route.priority,
-            due_s=arrived_s + route.goal_s - self._elapsed_at_caller_s(timeout_s),
+            due_s=arrived_s + route.goal_s - elapsed_s,
             deadline_s=deadline_s,
             idempotent=route.idempotent,
             attempts_left=route.attempts_max,
@@ -218,6 +128,21 @@
             slot_client.withdraw(self._slot_request)
             await self._cancel_attempts()
 
+    def _make_outgoing(self, body):
+        """Return the OutgoingRequest with a RequestBody."""
+        incoming = self._incoming
+        headers = end_to_end_headers(incoming.headers)
+        return OutgoingRequest(
+            method=incoming.method,
+            target=incoming.target,
+            headers=without_framing(headers),
+            request_id=self._report.request_id,
+            body=body.buffered,
+            framing=[pair for pair in incoming.headers if pair[0] in FRAMING_HEADERS],
+            pieces=body.pieces,
+            idempotent=self._route.idempotent,
+        )
+
     def _elapsed_at_caller_s(self, timeout_s):
         """Estimate how long the caller has been trying already, in seconds.
 
@@ -274,8 +199,7 @@
         if self._admission.is_permitted():
             self._start_attempt(dispatch)
             return False
-        unused = AttemptEnded(dispatch.attempt, Outcome.CANCELLED, 0.0)
-        self._context.slot_client.finish_attempt(self._slot_request, unused)
+        self._give_back(dispatch)
         if self._tasks:
             return False
         self._reject_quarantined()
@@ -338,11 +262,7 @@
             send_response(self._incoming, result.response)
             self._report.finished(result.response.status, "answered")
             return True
-        self._last_reason = result.reason or outcome.value
-        if not outcome.not_run:
-            self._may_have_run = True
-        if outcome is Outcome.FAILED:
-            self._failed_response = result.response
+        self._history.record(result)
         return self._retry(result)
 
     def _retry(self, result):
@@ -370,42 +290,24 @@
             self._context.slot_client.resubmit(self._slot_request)
             return False
         # No attempt is left here, but another target may run it at once.
-        self._respond_finally(self._last_reason, RETRY_AFTER_NO_ATTEMPT_S)
+        self._respond_finally(self._history.last_reason, RETRY_AFTER_NO_ATTEMPT_S)
         return True
 
     def _respond_finally(self, reason, retry_after_s):
-        """Send the final response to a request that is not sent to a target again.
-
-        Args:
-            reason: Why not, for the log.
-            retry_after_s: Seconds after which the caller may try again, told only if
-                the request has not run.
-        """
-        if self._failed_response is not None:
-            self._send_failed_response()
-        elif self._may_have_run:
-            self._respond_locally(_LocalResponse(502, self._last_reason))
-        else:
-            self._respond_locally(_LocalResponse(503, reason, retry_after_s))
+        """Send the final response; see ``AttemptHistory.final_response``."""
+        response = self._history.final_response(reason, retry_after_s)
+        if isinstance(response, LocalResponse):
+            self._respond_locally(response)
+            return
+        send_response(self._incoming, response)
+        self._report.finished(response.status, "failed-at-target")
 
     def _handle_deadline(self):
-        running = bool(self._tasks) or self._may_have_run
-        if running:
-            self._respond_locally(_LocalResponse(504, "no answer in time"))
+        if self._tasks or self._history.may_have_run:
+            response = LocalResponse(504, "no answer in time")
         else:
-            self._respond_locally(
-                _LocalResponse(503, "no slot in time", RETRY_AFTER_NO_SLOT_S)
-            )
-
-    def _send_failed_response(self):
-        """Send the failure response of a target to the caller."""
-        if self._failed_response.status in NOT_RUN_STATUSES:
-            self._respond_locally(
-                _LocalResponse(502, f"target answered {self._failed_response.status}")
-            )
-            return
-        send_response(self._incoming, self._failed_response)
-        self._report.finished(self._failed_response.status, "failed-at-target")
+            response = LocalResponse(503, "no slot in time", RETRY_AFTER_NO_SLOT_S)
+        self._respond_locally(response)
 
     async def _stream_response(self, result):
         """Stream a response to the caller and return True, as it is the final one."""
@@ -457,8 +359,12 @@
                     self._slot_request, message.end
                 )
             elif isinstance(message, Dispatch):
-                unused = AttemptEnded(message.attempt, Outcome.CANCELLED, 0.0)
-                self._context.slot_client.finish_attempt(self._slot_request, unused)
+                self._give_back(message)
+
+    def _give_back(self, dispatch):
+        """Free the slot of a Dispatch that is not used."""
+        unused = AttemptEnded(dispatch.attempt, Outcome.CANCELLED, 0.0)
+        self._context.slot_client.finish_attempt(self._slot_request, unused)
 
     def _respond_locally(self, response):
         headers = local_response_headers(
