--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -5,6 +5,7 @@
 import enum
 import itertools
 import os
+import time
 
 import attrs
 
@@ -14,7 +15,7 @@
 from standins.platform_target import PlatformTarget
 from standins.store import FakeStore
 
-__all__ = ["HOST", "Evacuation", "Cluster", "SoakTarget"]
+__all__ = ["HOST", "Cluster", "Evacuation", "FatalRun", "SoakTarget"]
 
 HOST = "soak.example"
 DATA_CENTRES = ("dc-a", "dc-b", "dc-c")
@@ -26,6 +27,8 @@
 # Length of a cold start, and the rate of requests that a cold target can take.
 COLD_START_S = 3.0
 COLD_PER_S = 6.7
+# Time after which another target replaces one that a request has ended.
+REPLACED_AFTER_S = 1.0
 HEARTBEAT_S = 1.5
 HEARTBEATS_MISSED = 3
 START_TIMEOUT_S = 20.0
@@ -79,6 +82,19 @@
         return self.server.id
 
 
+@attrs.frozen
+class FatalRun:
+    """A run of a request that ended its target.
+
+    Attributes:
+        path: Target of the request.
+        at_s: Time of the end, on the monotonic clock.
+    """
+
+    path: str
+    at_s: float
+
+
 @attrs.define(eq=False)
 class Evacuation:
     """A period in which a data centre is out of service.
@@ -113,6 +129,9 @@
         targets: List of all SoakTargets, including those that were stopped.
         configurations: List of pairs of version and time of its acknowledgement.
         evacuations: List of all Evacuations, including those that are over.
+        fatal_paths: List of the paths that end each target that runs them.
+        sent_fatal_paths: List of those of them that callers send at present.
+        fatal_runs: List of the FatalRuns.
     """
 
     def __init__(self, vms, folder):
@@ -127,6 +146,10 @@
         self.targets = []
         self.configurations = []
         self.evacuations = []
+        self.fatal_paths = []
+        self.sent_fatal_paths = []
+        self.fatal_runs = []
+        self._replacements = set()
         self._target_numbers = itertools.count(1)
         self._stack = contextlib.AsyncExitStack()
         self._heartbeats = {}
@@ -170,7 +193,7 @@
         return self
 
     async def __aexit__(self, *exception):
-        for task in self._heartbeats.values():
+        for task in (*self._heartbeats.values(), *self._replacements):
             task.cancel()
         await self._stack.aclose()
 
@@ -233,6 +256,8 @@
         data_centre = DATA_CENTRES[address_index % len(DATA_CENTRES)]
         target = SoakTarget(service, data_centre, address_index, server, link)
         target.cold_until_s = asyncio.get_running_loop().time() + cold_s
+        server.ends_on = self._is_fatal
+        server.on_end = lambda: self._replace_ended(target)
         self.targets.append(target)
         await self._register(target, 1)
         loop = asyncio.get_running_loop()
@@ -256,6 +281,23 @@
         self._heartbeats.pop(target.name).cancel()
         await self.store.delete("servers", target.name)
 
+    def _is_fatal(self, received):
+        if received.target not in self.fatal_paths:
+            return False
+        self.fatal_runs.append(FatalRun(received.target, time.monotonic()))
+        return True
+
+    def _replace_ended(self, target):
+        self.kill_target(target)
+        task = asyncio.get_running_loop().create_task(self._start_successor(target))
+        self._replacements.add(task)
+        task.add_done_callback(self._replacements.discard)
+
+    async def _start_successor(self, target):
+        with self.record_disturbance(target.name, "ended"):
+            await asyncio.sleep(REPLACED_AFTER_S)
+            await self.start_target(target.service, target.address_index, COLD_START_S)
+
     def _ip(self, subnet, number=0):
         return f"{self._network}.{self._first_subnet + subnet}.{number + 1}"
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -5,8 +5,9 @@
 import math
 import signal
 
-from soak.cluster import COLD_START_S, DATA_CENTRES, SERVICES
+from soak.cluster import COLD_START_S, DATA_CENTRES, POLL_S, SERVICES
 from soak.link import Direction
+from soak.load import FATAL_PREFIX
 
 __all__ = ["FAULTS", "Faults"]
 
@@ -111,7 +112,7 @@
 
     async def spoil_target_link(self, for_s):
         """Disturb the link between the VMs and a target."""
-        target = self._choose_running_target()
+        target = await self._choose_running_target()
         with self._cluster.record_disturbance(target.name, "link"):
             await self._disturb_link(target.link, for_s)
 
@@ -141,7 +142,7 @@
 
     async def crash_target(self, for_s):
         """Kill a target, then start another one cold at its address."""
-        target = self._choose_running_target()
+        target = await self._choose_running_target()
         with self._cluster.record_disturbance(target.name, "crashed"):
             self._cluster.kill_target(target)
             await asyncio.sleep(for_s)
@@ -153,7 +154,7 @@
 
     async def replace_target(self, for_s):
         """Drain and stop a target, then start another one cold at its address."""
-        target = self._choose_running_target()
+        target = await self._choose_running_target()
         with self._cluster.record_disturbance(target.name, "leaving"):
             await self._cluster.register_draining(target)
             await asyncio.sleep(DRAINING_RUN_S + for_s)
@@ -165,7 +166,7 @@
 
     async def slow_target(self, for_s):
         """Increase a target's service time."""
-        target = self._choose_running_target()
+        target = await self._choose_running_target()
         server = target.server
         normal_s = server.service_time_s
         with self._cluster.record_disturbance(target.name, "slow"):
@@ -175,7 +176,7 @@
 
     async def garble_target(self, for_s):
         """Inject faults into a share of a target's responses."""
-        target = self._choose_running_target()
+        target = await self._choose_running_target()
         kinds = self._random.sample(RESPONSE_FAULTS, 3)
 
         def choose_fault(received):
@@ -203,6 +204,19 @@
         await asyncio.sleep(EVACUATION_MIN_S + for_s)
         await self._cluster.restore_data_centre(evacuation)
 
+    async def send_fatal_requests(self, for_s):
+        """Let callers send a request that ends its targets, a new or a known one."""
+        cluster = self._cluster
+        known = [p for p in cluster.fatal_paths if p not in cluster.sent_fatal_paths]
+        if known and self._random.random() < 0.5:
+            path = self._random.choice(known)
+        else:
+            path = f"{FATAL_PREFIX}{len(cluster.fatal_paths)}"
+            cluster.fatal_paths.append(path)
+        cluster.sent_fatal_paths.append(path)
+        await asyncio.sleep(for_s)
+        cluster.sent_fatal_paths.remove(path)
+
     async def forge_registrations(self, for_s):
         """Write malformed rows into the table of registrations."""
         store = self._cluster.store
@@ -211,11 +225,16 @@
         await asyncio.sleep(for_s)
         await store.delete("servers", "forged-1")
 
-    def _choose_running_target(self):
-        running = [
-            t for t in self._cluster.targets if t.alive and t.draining_since_s is None
-        ]
-        return self._random.choice(running)
+    async def _choose_running_target(self):
+        while True:
+            running = [
+                t
+                for t in self._cluster.targets
+                if t.alive and t.draining_since_s is None
+            ]
+            if running:
+                return self._random.choice(running)
+            await asyncio.sleep(POLL_S)
 
     def _restart(self, vm):
         if not vm.running:
--- a/soak/load.py
+++ b/soak/load.py
@@ -10,7 +10,7 @@
 
 from soak.cluster import HOST
 
-__all__ = ["Call", "LoadGenerator"]
+__all__ = ["FATAL_PREFIX", "Call", "LoadGenerator"]
 
 TIMEOUT_S = 1.5
 # How long a caller reads on after the deadline, to record responses that are late.
@@ -18,9 +18,13 @@
 THINK_TIME_S = 0.04
 DIRECTORY_TIMEOUT_S = 1.0
 NON_IDEMPOTENT_SHARE = 0.4
+# Share of the fatal requests while there are any.
+FATAL_SHARE = 0.2
 PROBE_INTERVAL_S = 0.1
 CONNECTION_REUSE_SHARE = 0.8
 CONNECTION_CLOSED = 0
+# Start of the paths of requests that end the targets that run them.
+FATAL_PREFIX = "/lookup/fatal-"
 
 
 @attrs.define
@@ -56,6 +60,11 @@
     body: bytes = b""
     not_connected: bool = False
 
+    @property
+    def fatal(self):
+        """Whether it ends the targets that run it."""
+        return self.path.startswith(FATAL_PREFIX)
+
 
 class LoadGenerator:
     """Callers that resolve VMs at the directory and reuse connections and results.
@@ -122,6 +131,10 @@
     async def _send_one(self, ip, connections):
         non_idempotent = self._random.random() < NON_IDEMPOTENT_SHARE
         path = "/order/1" if non_idempotent else "/lookup/1"
+        fatal_paths = self._cluster.sent_fatal_paths
+        if fatal_paths and self._random.random() < FATAL_SHARE:
+            non_idempotent = False
+            path = self._random.choice(fatal_paths)
         if self._random.random() > CONNECTION_REUSE_SHARE:
             _abort_connection(connections, ip)
         await self._send(self._vms[ip], path, not non_idempotent, connections)
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -31,6 +31,11 @@
 RETRY_RATIO = 0.2
 RETRY_SLACK = 56
 RETRY_WINDOW_S = 10.0
+# A request that has ended FATAL_TARGETS targets may reach FATAL_ARRIVALS_MAX more when
+# VMs have had FATAL_SPREAD_S to know of it.
+FATAL_TARGETS = 3
+FATAL_SPREAD_S = 3.0
+FATAL_ARRIVALS_MAX = 3
 # Minimum share of successful requests after all faults have ended.
 RECOVERED_SHARE = 0.95
 # The kind of disturbance that is a graceful stop by SIGTERM.
@@ -68,6 +73,7 @@
     breaches += _check_cold_starts(cluster)
     breaches += _check_retry_budget(cluster, load.calls)
     breaches += _check_configuration(cluster, load.calls)
+    breaches += _check_fatal_requests(cluster, load.calls)
     return breaches
 
 
@@ -83,7 +89,7 @@
         A list of one Breach if less than RECOVERED_SHARE of the requests succeeded or
         none was sent; otherwise an empty list.
     """
-    sent = [c for c in load.calls if from_s <= c.sent_s < to_s]
+    sent = [c for c in load.calls if from_s <= c.sent_s < to_s and not c.fatal]
     served = sum(c.status == 200 for c in sent)
     if sent and served >= RECOVERED_SHARE * len(sent):
         return []
@@ -277,6 +283,34 @@
     return breaches
 
 
+def _check_fatal_requests(cluster, calls):
+    """Return Breaches for requests that go on ending targets."""
+    breaches = []
+    sent_by = {call.request_id: call for call in calls if call.fatal}
+    for path in cluster.fatal_paths:
+        ends = [run.at_s for run in cluster.fatal_runs if run.path == path]
+        if len(ends) < FATAL_TARGETS:
+            continue
+        known_s = ends[FATAL_TARGETS - 1] + FATAL_SPREAD_S
+        late = [
+            arrival
+            for target in cluster.targets
+            for arrival in target.server.arrivals
+            if arrival.at_s > known_s
+            and arrival.request_id in sent_by
+            and sent_by[arrival.request_id].path == path
+            and _store_and_vm_undisturbed(
+                cluster,
+                sent_by[arrival.request_id].vm,
+                arrival.at_s - CALM_S,
+                arrival.at_s,
+            )
+        ]
+        if len(late) > FATAL_ARRIVALS_MAX:
+            breaches.append(Breach("fatal-request", f"{path}: {late}"))
+    return breaches
+
+
 def _store_and_vm_undisturbed(cluster, vm, from_s, to_s):
     """Return whether neither the store nor a VM was disturbed in a span of time."""
     disturbances = cluster.disturbances
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -69,6 +69,7 @@
             next request arrives on the connection.
         ends_on: Function that is called with the ReceivedRequest and its body, and
             returns whether running it ends the target.
+        on_end: Function without arguments that is called when it ends by itself.
         received: List of ReceivedRequest that it has started to run.
         arrivals: List of Arrival of all requests but health checks and those that
             expected another target.
@@ -97,6 +98,7 @@
         self.slots = slots
         self.choose_fault = lambda received: None
         self.ends_on = lambda received: False
+        self.on_end = lambda: None
         self.received = []
         self.arrivals = []
         self.finished = []
@@ -125,6 +127,7 @@
         """End as a crashed process does, and record the time."""
         self.crashes.append(time.monotonic())
         self.close()
+        self.on_end()
 
     def close(self):
         """Stop listening and abort all connections."""
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from soak.cluster import Evacuation
+from soak.cluster import Evacuation, FatalRun
 from soak.disturbances import STORE, DisturbanceLog
 from soak.load import Call
 from soak.promises import check_promises, check_recovery
@@ -31,6 +31,8 @@
         "disturbances": DisturbanceLog(),
         "configurations": [(1, 0.0)],
         "evacuations": [],
+        "fatal_paths": [],
+        "fatal_runs": [],
     }
     return types.SimpleNamespace(**{**defaults, **fields})
 
@@ -137,6 +139,25 @@
     assert "never-reverts" in broken_promises(cluster(run_at(target())), first, again)
 
 
+def test_detects_that_a_fatal_request_is_sent_on():
+    path = "/lookup/fatal-0"
+    fake_target = target()
+    for number in range(8):
+        run_at(fake_target, f"r{number}", 10.0 + number)
+    calls = [
+        call(f"r{n}", path=path, idempotent=True, status=502, sent_s=9.9 + n)
+        for n in range(8)
+    ]
+    runs = [FatalRun(path, 8.0 + number) for number in range(3)]
+    faulty_cluster = cluster(fake_target, fatal_paths=[path], fatal_runs=runs)
+    # Four of the eight come when VMs must know, three are allowed.
+    assert "fatal-request" in broken_promises(faulty_cluster, *calls)
+    faulty_cluster.fatal_runs = runs[:2]
+    assert "fatal-request" not in broken_promises(faulty_cluster, *calls)
+    faulty_cluster.fatal_runs = [FatalRun(path, run.at_s + 1.0) for run in runs]
+    assert "fatal-request" not in broken_promises(faulty_cluster, *calls)
+
+
 def test_detects_that_too_little_is_served_after_the_faults():
     calls = [call(f"r{n}", status=200 if n else 503) for n in range(10)]
     assert check_recovery(types.SimpleNamespace(calls=calls), 9.0, 11.0)
