Do not quarantine a content for crashes that another one explains

Cause, two things: the path ran on three targets that the fatal request ended, each time beside it, and counted like it; and its trial met an address that another target had taken (421), counted as made, and the next one was 20 s away. Ruled out: a fault of the settling, as all 503s were 'quarantined' and of that one content.

Change: records keep up to 16 targets; a content that a target has run to its end before does not count the crashes of contents that none has. A trial counts when its attempt has ended without clearing the content, not when it is sent, and one that no target ran is free; hedges do not join a trial.

What remains: a content that was never cleared and shares the first three crashes is kept back until its first trial, 2 s.

--- a/sesamespring/gateway/content_admission.py
+++ b/sesamespring/gateway/content_admission.py
@@ -24,6 +24,7 @@
         self._context = context
         self._quarantine = context.quarantine
         self._admission = Admission(True)
+        self._trial_sent = False
 
     @property
     def retry_after_s(self):
@@ -40,12 +41,14 @@
         """Return whether the request may be sent to a target now."""
         if self._quarantine.empty:
             return True
-        return self._quarantine.permits(self._report.content_id, self._admission)
+        content = self._report.content_id
+        if self._trial_sent and self._quarantine.is_quarantined(content):
+            return False
+        return self._quarantine.permits(content, self._admission)
 
     def attempt_started(self):
-        """Record that the request is sent to a target."""
-        if not self._quarantine.empty:
-            self._quarantine.begin_attempt(self._report.content_id)
+        """Record that the request is sent to a target; a trial is sent to one only."""
+        self._trial_sent = self._admission.trial is not None
 
     def attempt_ended(self, entry, outcome, crashed):
         """Record whether a target crashed while it ran the request.
@@ -61,6 +64,10 @@
             if not self._quarantine.empty:
                 self._quarantine.record_completion(self._report.content_id)
             return
+        if outcome.not_run:
+            self._trial_sent = False
+        elif self._admission.trial is not None:
+            self._quarantine.record_trial(self._report.content_id)
         known = self._context.cluster_state.target(entry.key)
         if crashed and known is not None and not known.leaving:
             self._quarantine.record_crash(self._report.content_id, entry.key)
--- a/sesamespring/gateway/quarantine_rows.py
+++ b/sesamespring/gateway/quarantine_rows.py
@@ -42,11 +42,12 @@
             own: Whether this VM has changed it, and so has to write its row.
         """
         had_row = record.content in self._with_rows
-        if record.quarantined:
+        quarantined = self._quarantine.is_quarantined(record.content)
+        if quarantined:
             self._with_rows.add(record.content)
         else:
             self._with_rows.discard(record.content)
-        if own and (had_row or record.quarantined):
+        if own and (had_row or quarantined):
             self._unwritten.add(record.content)
             self._must_write.set()
 
@@ -81,7 +82,7 @@
         while self._unwritten:
             content = next(iter(self._unwritten))
             record = self._quarantine.record(content)
-            kept = record is not None and record.quarantined
+            kept = self._quarantine.is_quarantined(content)
             row = RowWrite(content, encode_record(record) if kept else None)
             await self._store.transact(QUARANTINE_TABLE, [], [row])
             if self._quarantine.record(content) == record:
--- a/sesamespring/gateway/request_quarantine.py
+++ b/sesamespring/gateway/request_quarantine.py
@@ -18,7 +18,7 @@
 __all__ = ["RequestQuarantine"]
 
 # Keeps a heartbeat far below the largest datagram.
-RECORDS_PER_MESSAGE_MAX = 16
+RECORDS_PER_MESSAGE_MAX = 8
 # Heartbeats repeat a record for this time, as the first message may be lost.
 REPEAT_S = 5.0
 
@@ -80,9 +80,9 @@
         """Return whether a request with this Admission may still be sent."""
         return self._quarantine.permits(content, admission, self._loop.time())
 
-    def begin_attempt(self, content):
-        """Record that a permitted request is sent; of a quarantined one as a trial."""
-        if self.is_quarantined(content):
+    def record_trial(self, content):
+        """Record that a trial of a content has not cleared it."""
+        if self.record(content) is not None:
             now_s = self._loop.time()
             self._tell(self._quarantine.record_trial(content, now_s), "trial")
 
@@ -148,17 +148,18 @@
         self._report(record, source, own=True)
 
     def _report(self, record, source, own=False):
+        quarantined = self.is_quarantined(record.content)
         self._log.event(
             "crash-record",
             content=record.content,
             crashes=len(record.crashed),
-            quarantined=record.quarantined,
+            quarantined=quarantined,
             trials=record.trials,
             clearances=record.clearances,
             source=source,
         )
         self.on_changed(record, own)
-        if record.quarantined:
+        if quarantined:
             self.on_quarantined(record.content)
 
     def _encode(self, record):
--- a/sesamespring/routing/quarantine.py
+++ b/sesamespring/routing/quarantine.py
@@ -12,13 +12,15 @@
 
 # Distinct targets that a content must have crashed before it is quarantined.
 CRASHES_MAX = 3
+CRASHES_KEPT_MAX = 16
 # Time from the quarantine to the first trial. A content that crashed targets only by
 # coincidence is served again after this time at the latest.
 FIRST_TRIAL_DELAY_S = 2.0
 TRIAL_DELAY_FACTOR = 10.0
 TRIALS_MAX = 3
-# A request that was chosen for a trial is sent within this time, or another one is.
-RESERVATION_S = 2.0
+# A request that was chosen for a trial is sent within this time, in which its outcome
+# is expected too; then another one may be chosen.
+RESERVATION_S = 3.0
 MEMORY_S = 3600.0
 # How long other VMs, which may hold an older record, are told of a cleared one.
 CLEARED_MEMORY_S = 30.0
@@ -35,8 +37,8 @@
         content: Id of the content, see ``request_content``.
         clearances: How often it was cleared, as a target ran it without a crash. A
             record with more clearances replaces those with fewer.
-        crashed: Keys of up to ``CRASHES_MAX`` targets that crashed since then.
-        trials: Number of trials since then, in which a request was sent.
+        crashed: Keys of up to ``CRASHES_KEPT_MAX`` targets that crashed since then.
+        trials: Number of trials since then that did not clear the content.
         reservations: How often a request was chosen for a trial since then.
         changed_s: Time of the latest crash, trial or clearance known to this VM.
         reserved_s: Time of the latest reservation known to this VM.
@@ -50,11 +52,6 @@
     changed_s: float
     reserved_s: float = -math.inf
 
-    @property
-    def quarantined(self):
-        """Whether requests with this content are kept from targets."""
-        return len(self.crashed) >= CRASHES_MAX
-
     @property
     def next_trial_s(self):
         """Time from which one request with a quarantined content may be chosen."""
@@ -67,7 +64,7 @@
         """Return the record that follows from this one and another of its content."""
         if self.clearances != other.clearances:
             return max(self, other, key=lambda record: record.clearances)
-        crashed = frozenset(sorted(self.crashed | other.crashed)[:CRASHES_MAX])
+        crashed = frozenset(sorted(self.crashed | other.crashed)[:CRASHES_KEPT_MAX])
         trials = max(self.trials, other.trials)
         changed_s, reserved_s = self.changed_s, self.reserved_s
         if crashed != self.crashed or trials != self.trials:
@@ -125,7 +122,11 @@
     def is_quarantined(self, content):
         """Return whether requests with this content are kept from targets."""
         record = self._records.get(content)
-        return record is not None and record.quarantined
+        if record is None or len(record.crashed) < CRASHES_MAX:
+            return False
+        if record.clearances == 0:
+            return True
+        return len(record.crashed - self._explained_crashes()) >= CRASHES_MAX
 
     def retry_after_s(self, content, now_s):
         """Return the time until the next trial of a content, in seconds."""
@@ -152,13 +153,13 @@
             admission: Its Admission.
             now_s: Current time.
         """
-        record = self._records.get(content)
-        if record is None or not record.quarantined:
+        if not self.is_quarantined(content):
             return True
+        record = self._records[content]
         return admission.trial == record.trials and now_s < admission.until_s
 
     def record_trial(self, content, now_s):
-        """Record that a quarantined content is sent to a target now."""
+        """Record that a trial of a content has not cleared it."""
         known = self._records[content]
         trials = known.trials + 1
         return self._put(attrs.evolve(known, trials=trials, changed_s=now_s))
@@ -207,6 +208,18 @@
             if now_s < record.changed_s + _memory_s(record)
         }
 
+    def _explained_crashes(self):
+        """Return the keys of the targets that contents without a clearance crashed.
+
+        Another content that ran there, and that targets are known to run to its end,
+        was beside the cause.
+        """
+        explained = set()
+        for record in self._records.values():
+            if record.clearances == 0 and len(record.crashed) >= CRASHES_MAX:
+                explained |= record.crashed
+        return explained
+
     def _put(self, record):
         self._records[record.content] = record
         if len(self._records) > RECORDS_MAX:
--- a/tests/gateway/test_quarantine.py
+++ b/tests/gateway/test_quarantine.py
@@ -246,6 +246,35 @@
     run_with_restarts(scenario, vms=2, targets=6, work_s=0.3)
 
 
+def test_trial_that_no_target_has_run_is_made_again_soon():
+    async def scenario(cluster):
+        await send_fatal(cluster, 1.0)
+        for target in cluster.targets:
+            target.ends_on = lambda received: False
+        await asyncio.sleep(RESTART_S + 0.3)
+        # VMs do not learn that other targets are at the addresses.
+        cluster.store.faults.away = True
+        for number, target in enumerate(cluster.targets):
+            target.close()
+            await cluster.store.delete("servers", target.id)
+            target.id += "-new"
+            await target.start(*cluster.target_address(number))
+        await asyncio.sleep(0.5)
+        response = await cluster.call(cluster.ips[0], "trial", path=FATAL_PATH)
+        assert response.status == 503
+        cluster.store.faults.away = False
+        for number in range(len(cluster.targets)):
+            await cluster.register(number)
+
+        async def is_served():
+            response = await cluster.call(cluster.ips[0], "probe", path=FATAL_PATH)
+            return response.status == 200
+
+        await wait_until(is_served, COINCIDENCE_S)
+
+    run_with_restarts(scenario, vms=2, targets=6)
+
+
 def test_request_whose_connections_are_reset_by_live_targets_is_sent_on():
     async def scenario(cluster):
         for target in cluster.targets:
