--- a/soak/faults.py
+++ b/soak/faults.py
@@ -96,9 +96,13 @@
             await self._cluster.wait_ready(vm)
 
     async def reload_vms(self, for_s):
-        """Send SIGHUP to all VMs, which reload their settings."""
+        """Send SIGHUP to all VMs, which reload their settings.
+
+        No program can keep a signal from ending it before its interpreter has started.
+        """
         for vm in self._cluster.vms:
-            vm.send(signal.SIGHUP)
+            if vm.interpreter_started:
+                vm.send(signal.SIGHUP)
 
     async def spoil_callers_link(self, for_s):
         """Disturb the link between callers and a VM."""
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -94,7 +94,7 @@
                     breaches += check_promises(cluster, load)
                 group.create_task(getattr(faults, planned.name)(planned.for_s))
     except TimeoutError:
-        ended = [vm.name for vm in cluster.vms if not vm.running]
-        detail = f"a VM is not ready again; without a process: {ended}"
+        ended = [f"{vm.name} {vm.exit_code}" for vm in cluster.vms if not vm.running]
+        detail = f"a VM is not ready again; ended, with exit codes: {ended}"
         breaches.append(Breach("comes-back", detail))
     return breaches
--- a/soak/shifted.py
+++ b/soak/shifted.py
@@ -8,6 +8,8 @@
 import sys
 import time
 
+from soak.vm import INTERPRETER_STARTED
+
 NS_PER_MS = 1_000_000
 
 
@@ -20,6 +22,7 @@
 
 def main():
     """Shift the wall clock, then run the daemon."""
+    print(INTERPRETER_STARTED, flush=True)
     shift_wall_clock(int(sys.argv.pop(1)))
     from sesamespring.gateway.__main__ import main as run_daemon
 
--- a/soak/vm.py
+++ b/soak/vm.py
@@ -7,7 +7,7 @@
 import sys
 from pathlib import Path
 
-__all__ = ["SoakVm"]
+__all__ = ["INTERPRETER_STARTED", "SoakVm"]
 
 ROOT = Path(__file__).resolve().parent.parent
 CALLERS_PORT = 24000
@@ -15,6 +15,8 @@
 DIRECTORY_PORT = 24002
 INTERNAL_PORT = 24003
 EXIT_POLL_S = 0.05
+# First line in the log of each process, before any code of the daemon has run.
+INTERPRETER_STARTED = "interpreter started"
 # The graceful stop time in the settings; the process is killed 1 s after it.
 STOP_TIMEOUT_S = 6
 KILL_AFTER_S = STOP_TIMEOUT_S + 1.0
@@ -99,6 +101,16 @@
         """Whether its process is running."""
         return self._process is not None and self._process.poll() is None
 
+    @property
+    def interpreter_started(self):
+        """Whether its present process has come so far as to run the daemon's code."""
+        return self._log.read_text().count(INTERPRETER_STARTED) >= self.lifetime
+
+    @property
+    def exit_code(self):
+        """Exit code of its process, negative for a signal; None while it runs."""
+        return None if self._process is None else self._process.poll()
+
     @property
     def log(self):
         """Path of its log file, which all its processes append to."""
