Do not free the slot of an attempt in progress when its grant comes twice

Cause: a VM repeats SlotWanted when the reply is slow, and the deciding VM answers each with the grant. The second grant found no waiting request, counted as unused and was given back; the deciding VM then freed the slot of the attempt in progress. Ruled out: a silent deciding VM (no such line in the log), hedges (none), a grant to an unknown target (none logged).

Evidence: test_repeated_grant_does_not_free_the_slot_of_the_attempt_in_progress failed before (SlotEnded, cancelled) and passes.

--- a/sesamespring/gateway/slot_client.py
+++ b/sesamespring/gateway/slot_client.py
@@ -261,6 +261,8 @@
         )
 
     def _handle_granted(self, message, address):
+        if self._is_in_progress(message, address):
+            return
         slot_request = self._find_current(message, address)
         entry = self._cluster_state.target((message.target, message.born_ms))
         if slot_request is None or entry is None:
@@ -299,6 +301,12 @@
             )
         )
 
+    def _is_in_progress(self, message, address):
+        """Whether a SlotGranted repeats the grant of an attempt in progress."""
+        slot_request = self._slot_requests.get(message.request)
+        grant = _Grant(address, message.attempt)
+        return slot_request is not None and grant in slot_request.granted.values()
+
     def _handle_refused(self, message, address):
         slot_request = self._find_current(message, address)
         if slot_request is None:
--- a/tests/gateway/test_slot_client.py
+++ b/tests/gateway/test_slot_client.py
@@ -218,3 +218,16 @@
         assert not client.may_retry(slot_request)
 
     run_scenario(scenario)
+
+
+def test_repeated_grant_does_not_free_the_slot_of_the_attempt_in_progress():
+    async def scenario(client, peers, runner):
+        dispatched = []
+        client.submit("s", request(), dispatched.append)
+        grant(peers)
+        # The decider answers each SlotWanted, which was repeated meanwhile.
+        grant(peers)
+        assert len(dispatched) == 1
+        assert not [m for m in peers.sent if isinstance(m, SlotEnded)]
+
+    run_scenario(scenario)
