--- a/tests/http/test_bad_input.py
+++ b/tests/http/test_bad_input.py
@@ -82,7 +82,7 @@
     (response, later), received = responses_to(payload, GOOD)
     assert response.startswith(b"HTTP/1.1 400 ")
     assert later.endswith(b"whole")
-    assert b"0\r\n\r\n" not in received
+    assert b"\r\n0\r\n\r\n" not in received
 
 
 def test_folded_headers_and_hop_by_hop_headers_reach_no_target():
