--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -12,6 +12,8 @@
 EARLY_BODY_DELAY_S = 0.1
 ENDLESS_PART = b"x" * 16_384
 ENDLESS_PAUSE_S = 0.005
+# Longer than any test.
+SILENCE_S = 3600.0
 
 
 @attrs.frozen
@@ -90,6 +92,8 @@
         health_checks: List of the times at which health checks arrived, on the
             monotonic clock.
         endless: Whether its health checks get bytes without end.
+        unreachable_from: Set of IP addresses of clients whose connections have fallen
+            silent: no request is read from them, and no response reaches them.
     """
 
     def __init__(self, target_id, service_time_s=0.01, slots=2):
@@ -114,6 +118,7 @@
         self.busy_s = None
         self.health_checks = []
         self.endless = False
+        self.unreachable_from = set()
         self._running = 0
         self._server = None
         self._writers = set()
@@ -135,6 +140,12 @@
         for writer in tuple(self._writers):
             writer.transport.abort()
 
+    def reset_connections(self, client_ip):
+        """Abort all connections of a client."""
+        for writer in tuple(self._writers):
+            if _client_ip(writer) == client_ip:
+                writer.transport.abort()
+
     async def _serve_connection(self, reader, writer):
         self.connections += 1
         self._writers.add(writer)
@@ -150,6 +161,8 @@
 
     async def _serve_request(self, reader, writer):
         head = await reader.readuntil(b"\r\n\r\n")
+        if _client_ip(writer) in self.unreachable_from:
+            await asyncio.sleep(SILENCE_S)
         lines = head.decode().split("\r\n")
         method, target, _ = lines[0].split(" ")
         request_headers = dict(_parse_field(line) for line in lines[1:] if line)
@@ -232,7 +245,7 @@
             writer.transport.abort()
             return False
         if fault == "silent":
-            await asyncio.sleep(3600)
+            await asyncio.sleep(SILENCE_S)
         if fault == "endless-head":
             return await self._write_endlessly(writer, b"HTTP/1.1 200 X\r\nX: ")
         if fault == "endless-body":
@@ -301,6 +314,8 @@
         return True
 
     async def _write(self, writer, status, body, headers):
+        if _client_ip(writer) in self.unreachable_from:
+            return
         lines = [f"HTTP/1.1 {status} X", *(f"{k}: {v}" for k, v in headers.items())]
         writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
         await writer.drain()
@@ -317,6 +332,12 @@
     return body
 
 
+def _client_ip(writer):
+    """Return the IP address of a connection's client, or None if it is closed."""
+    peer = writer.get_extra_info("peername")
+    return peer[0] if peer else None
+
+
 def _parse_field(line):
     name, _, value = line.partition(":")
     return name.lower(), value.strip()
--- a/tests/gateway/cluster.py
+++ b/tests/gateway/cluster.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import contextlib
+import contextvars
 import itertools
 from unittest import mock
 
@@ -12,6 +13,7 @@
 
 from sesamespring.gateway.daemon import GatewayDaemon
 from sesamespring.gateway.datagrams import DatagramSocket
+from sesamespring.http.channel import open_channel
 from sesamespring.platform.settings import Bounds, VmSettings
 from standins.platform_target import PlatformTarget
 from standins.store import FakeStore
@@ -28,6 +30,8 @@
 INTERNAL_PORT = 23003
 BOUNDS = Bounds(6.0, 0.2, 56.0, 10.0, 1.5, 5.0, 5.0, 60.0)
 _networks = itertools.count(10)
+# IP address of the VM whose code runs; all VMs of a Cluster share one process.
+_vm_ip = contextvars.ContextVar("vm_ip")
 
 
 def route(name, kind="safe", prefix=None, **changes):
@@ -105,11 +109,17 @@
         self._stack = contextlib.AsyncExitStack()
         self._stops = {}
         self._tasks = {}
+        # Dict by IP address of the VMs that are cut off from targets: function without
+        # arguments that is awaited in place of a new connection.
+        self._cut_off = {}
 
     async def __aenter__(self):
         for number in range(STORE_ADDRESSES):
             await self.store.start(*self.store_address(number))
         self._stack.callback(self.store.close)
+        for module in ("connection_pool", "prober"):
+            name = f"sesamespring.gateway.{module}.open_channel"
+            self._stack.enter_context(mock.patch(name, self._open_channel))
         await self.store.put("op", "config", configuration())
         for number in range(len(self.targets)):
             await self.start_target(number)
@@ -177,9 +187,13 @@
 
     def start_vm(self, ip):
         stop = asyncio.Event()
-        daemon = GatewayDaemon(self.settings(ip))
         self._stops[ip] = stop
-        self._tasks[ip] = asyncio.get_running_loop().create_task(daemon.run(stop))
+        context = contextvars.copy_context()
+        context.run(_vm_ip.set, ip)
+        daemon = context.run(GatewayDaemon, self.settings(ip))
+        self._tasks[ip] = asyncio.get_running_loop().create_task(
+            daemon.run(stop), context=context
+        )
 
     def stop_vm(self, ip):
         """Stop a VM as SIGTERM does, and return the task that ends with the VM."""
@@ -204,6 +218,42 @@
             mock.patch.object(DatagramSocket, "send", send_unless_cut)
         )
 
+    def cut_from_targets(self, ip, how, numbers=None):
+        """Cut a VM off from targets until ``restore_targets``.
+
+        Args:
+            ip: IP address of the VM.
+            how: ``silent``: connections hang, also new ones; ``reset``: they are reset,
+                and new ones refused; ``refused``: they live on, and new ones are
+                refused.
+            numbers: Indexes of the targets, or None for all.
+        """
+        numbers = range(len(self.targets)) if numbers is None else numbers
+        for number in numbers:
+            target = self.targets[number]
+            if how == "silent":
+                target.unreachable_from.add(ip)
+            elif how == "reset":
+                target.reset_connections(ip)
+            address = self.target_address(number)
+            self._cut_off[ip, address] = _hang if how == "silent" else _refuse
+
+    def restore_targets(self, ip):
+        """End ``cut_from_targets``; connections that hang do so for good."""
+        for key in [key for key in self._cut_off if key[0] == ip]:
+            del self._cut_off[key]
+        for target in self.targets:
+            target.unreachable_from.discard(ip)
+
+    async def _open_channel(self, address, timeout_s):
+        """Open a Channel from the address of the VM that calls this."""
+        ip = _vm_ip.get()
+        fail = self._cut_off.get((ip, address))
+        if fail is not None:
+            async with asyncio.timeout(timeout_s):
+                await fail()
+        return await open_channel(address, timeout_s, ip)
+
     async def until_ready(self, ip, timeout_s=10.0):
         async with asyncio.timeout(timeout_s):
             while (await self.request((ip, READY_PORT), "/-/ready")).status != 200:
@@ -238,6 +288,14 @@
         return [r.request_id for target in self.targets for r in target.received]
 
 
+async def _hang():
+    await asyncio.Event().wait()
+
+
+async def _refuse():
+    raise ConnectionRefusedError("refused by a cut link")
+
+
 def request_bytes(target, method="GET", headers=None, body=b""):
     fields = {"Host": "x", **(headers or {})}
     if body and "Transfer-Encoding" not in fields:
