Do not rest a target for all VMs because one VM's link to it failed

Cause: the decider held a slot for the 0.4 s of a cut VM's connect timeout, then counted a failure and rested the target for 0.5 s, for all VMs. Three cut VMs with traffic rest a whole service.

Ruled out: the retry budget (three refusals in all name it) and a shortage of slots (no target reported itself full).

Change: a target that has responded to any VM since the attempt was sent is not rested, nor is its refused health check counted.

The tests of the scheduler fail without the change. The tests of cut VMs stay red: their callers still get nothing.

--- a/sesamespring/gateway/prober.py
+++ b/sesamespring/gateway/prober.py
@@ -83,11 +83,14 @@
 
     async def _probe(self, runner, path, state):
         key = state.entry.key
+        started_s = self._loop.time()
         try:
             async with asyncio.timeout(TIMEOUT_S):
                 metadata = await self._send_probe(state.entry, path)
         except ConnectionRefusedError:
-            runner.scheduler.back_off(key, UNREACHABLE_BACKOFF_S, self._loop.time())
+            runner.scheduler.back_off_unless_heard(
+                key, UNREACHABLE_BACKOFF_S, started_s, self._loop.time()
+            )
             self._close_channel(key)
         except (OSError, TimeoutError, h11.ProtocolError):
             self._counters.add("failed_health_checks")
--- a/sesamespring/gateway/slot_client.py
+++ b/sesamespring/gateway/slot_client.py
@@ -347,10 +347,11 @@
     def _send_ended(self, grant, number, end):
         """Send the end of an attempt to the VM of a _Grant, and repeat it later."""
         load = end.load
+        outcome = Outcome.CANCELLED if end.path_cut else end.outcome
         message = SlotEnded(
             request=number,
             attempt=grant.attempt,
-            outcome=end.outcome.value,
+            outcome=outcome.value,
             taken_s=end.taken_s,
             cold_left_s=end.cold_left_s,
         )
--- a/sesamespring/routing/messages.py
+++ b/sesamespring/routing/messages.py
@@ -107,6 +107,8 @@
         cold_left_s: Remaining cold start that the target reported, in seconds, or None.
         limit_per_s: Requests per second that the target takes from all VMs according to
             its response, or None if it did not respond.
+        path_cut: Whether it ended as the VM lost its link to the target, which says
+            nothing about the target.
     """
 
     attempt: int
@@ -115,6 +117,7 @@
     load: object = None
     cold_left_s: float | None = None
     limit_per_s: float | None = None
+    path_cut: bool = False
 
 
 @attrs.frozen
--- a/sesamespring/routing/scheduler.py
+++ b/sesamespring/routing/scheduler.py
@@ -42,6 +42,7 @@
 ENOUGH_TIME_FACTOR = 4.0
 
 _FAILURES = frozenset({Outcome.FAILED, Outcome.BROKEN})
+_RESPONSES = frozenset({Outcome.ANSWERED, Outcome.FAILED, Outcome.REJECTED})
 
 
 class ServiceScheduler:
@@ -172,6 +173,8 @@
         state = self._states.get(key)
         if state is None:
             return
+        if load is not None or cold_left_s is not None:
+            state.heard_s = now_s
         if load is not None:
             state.record_load(load, now_s)
             difference = load.slowdown - self._average_slowdown
@@ -180,10 +183,17 @@
             state.cold_until_s = now_s + cold_left_s
             state.invalidate_costs()
 
-    def back_off(self, key, seconds, now_s):
-        """Send no requests to a target for a number of seconds."""
+    def back_off_unless_heard(self, key, seconds, since_s, now_s):
+        """Send no requests to a target for some seconds, unless it responds to others.
+
+        Args:
+            key: Key of the target.
+            seconds: Length of the backoff.
+            since_s: Time since which a response to any VM shows that the target runs.
+            now_s: Current time.
+        """
         state = self._states.get(key)
-        if state is not None:
+        if state is not None and state.heard_s <= since_s:
             state.back_off(now_s, seconds)
 
     def submit(self, request, now_s):
@@ -437,6 +447,10 @@
 
     def _learn(self, request, state, active, ended, now_s):
         outcome = ended.outcome
+        if outcome in _RESPONSES:
+            state.heard_s = now_s
+        if ended.path_cut:
+            return
         if outcome is Outcome.ANSWERED:
             unloaded_s = self._service_time_s(request)
             unloaded_s *= (
@@ -455,7 +469,7 @@
         elif outcome is Outcome.REJECTED:
             state.back_off(now_s, REJECTED_BACKOFF_S)
             state.record_failure(now_s)
-        elif outcome is Outcome.NOT_SENT:
+        elif outcome is Outcome.NOT_SENT and state.heard_s <= active.sent_s:
             state.record_failure(now_s)
             state.back_off(now_s, UNREACHABLE_BACKOFF_S)
         elif outcome is Outcome.MISDIRECTED:
--- a/sesamespring/routing/target_state.py
+++ b/sesamespring/routing/target_state.py
@@ -68,6 +68,7 @@
         cold_until_s: Time at which its cold start ends.
         slowdown: Slowdown in its last load report.
         reported_s: Time of that report.
+        heard_s: Time of the last response to any VM that this one knows of.
         other_requests: Requests of other VMs at the target by that report.
         correction: Moving average of the ratio of the measured duration of attempts to
             the duration that the load reports explain.
@@ -88,6 +89,7 @@
     cold_until_s: float = -math.inf
     slowdown: float = 1.0
     reported_s: float = -math.inf
+    heard_s: float = -math.inf
     other_requests: int = 0
     correction: float = 1.0
     corrected_s: float = -math.inf
--- a/tests/routing/test_scheduler.py
+++ b/tests/routing/test_scheduler.py
@@ -1,6 +1,12 @@
 """Test dispatch, refusal, hedging and limits of the scheduler of one service."""
 
-from sesamespring.routing.messages import Dispatch, Outcome, Refusal, RefusalReason
+from sesamespring.routing.messages import (
+    AttemptEnded,
+    Dispatch,
+    Outcome,
+    Refusal,
+    RefusalReason,
+)
 from sesamespring.routing.records import LoadReport
 from tests.routing.support import (
     attempt_ended,
@@ -301,3 +307,35 @@
             commands = scheduler.submit(make_request(timeout_s=9.0), 0.0)
             sent += len(dispatched(commands))
     assert 0 < sent <= 6.7 * 1.5 + 5
+
+
+def fail_to_send(scheduler, request, dispatch, now_s):
+    ended = AttemptEnded(dispatch.attempt, Outcome.NOT_SENT, now_s)
+    return scheduler.finish_attempt(ended, now_s)
+
+
+def test_target_that_responds_to_other_vms_is_not_rested_for_one_vms_link():
+    scheduler = make_scheduler(make_target("t"))
+    failing, other = make_request(), make_request()
+    (first,) = scheduler.submit(failing, 0.0)
+    (second,) = scheduler.submit(other, 0.0)
+    scheduler.finish_attempt(AttemptEnded(second.attempt, Outcome.ANSWERED, 0.1), 0.1)
+    fail_to_send(scheduler, failing, first, 0.4)
+    assert scheduler.submit(make_request(0.4), 0.4)
+
+
+def test_target_that_nobody_hears_is_rested_when_it_cannot_be_reached():
+    scheduler = make_scheduler(make_target("t"))
+    request = make_request()
+    (dispatch,) = scheduler.submit(request, 0.0)
+    fail_to_send(scheduler, request, dispatch, 0.4)
+    assert scheduler.submit(make_request(0.4), 0.4) == []
+
+
+def test_end_of_an_attempt_by_a_lost_link_says_nothing_about_the_target():
+    scheduler = make_scheduler(make_target("t"))
+    for _ in range(4):
+        (dispatch,) = scheduler.submit(make_request(), 0.0)
+        ended = AttemptEnded(dispatch.attempt, Outcome.BROKEN, 0.1, path_cut=True)
+        scheduler.finish_attempt(ended, 0.1)
+    assert scheduler.submit(make_request(0.1), 0.1)
