Let other VMs make the attempts of a VM that does not reach targets

Cause: a VM that got a slot had no way to the target but its own link. It tried one target after the other, 0.4 s each, until the caller's deadline; the directory went on naming it, and where it decided for a service it went on deciding. The class: a failure between two is held against one of them, and the path is taken for the target.

Ruled out: leaving the directory alone is not enough, as callers keep its answers, most or all VMs may be cut off, and each target may be cut off from other VMs.

An attempt that cannot connect goes through a VM that reaches the service, over the internal port; at most two are tried, and only one of them sends it. Heartbeats name the services that a VM does not reach: the directory leaves it out for these, and another VM decides. A refused connection is no proof that a target's process ended unless other VMs are refused too, so a cut VM quarantines nothing.

--- a/sesamespring/gateway/attempt.py
+++ b/sesamespring/gateway/attempt.py
@@ -1,10 +1,16 @@
-"""Send a request to one target and receive the response."""
+"""Send a request to one target, or through another VM, and receive the response."""
 
 import asyncio
 
 import attrs
 import h11
 
+from sesamespring.gateway.relay_messages import (
+    TARGET_DOWN,
+    relay_outcome,
+    relay_request_headers,
+)
+from sesamespring.gateway.target_paths import BreakCause
 from sesamespring.http.channel import ChannelClosed
 from sesamespring.http.headers import FRAMING_HEADERS
 from sesamespring.platform.headers import parse_response_headers, target_request_headers
@@ -14,12 +20,14 @@
     "Attempt",
     "AttemptResult",
     "OutgoingRequest",
+    "RelayEndpoint",
     "TargetResponse",
     "without_framing",
 ]
 
 BUFFERED_BYTES_MAX = 256 * 1024
 STRAY_RESPONSES_MAX = 3
+RELAY_IDLE_CONNECTIONS = 8
 
 
 @attrs.define
@@ -65,6 +73,21 @@
     channel: object = None
 
 
+@attrs.frozen
+class RelayEndpoint:
+    """Another VM that makes attempts, in the form that a TargetConnectionPool needs.
+
+    Attributes:
+        key: Pair of its name and incarnation.
+        address: Pair of IP and port.
+        slots: Number of idle connections to keep to it.
+    """
+
+    key: tuple
+    address: tuple
+    slots: int = RELAY_IDLE_CONNECTIONS
+
+
 @attrs.frozen
 class AttemptResult:
     """The result of one attempt.
@@ -75,6 +98,9 @@
         response: The TargetResponse, or None if there is none to pass on.
         reason: Cause of a failure, for the log.
         target_crashed: Whether the target's process ended while it had the request.
+        relay: The RelayEndpoint of the VM that sent the request, or None if this did.
+        rejection: The TargetResponse with which the target rejected the request, for a
+            VM that makes the attempt for another one, or None.
     """
 
     end: AttemptEnded
@@ -82,6 +108,8 @@
     response: TargetResponse | None
     reason: str = ""
     target_crashed: bool = False
+    relay: RelayEndpoint | None = None
+    rejection: TargetResponse | None = None
 
     @property
     def is_streamed(self):
@@ -95,16 +123,22 @@
     Args:
         dispatch: The Dispatch of the scheduler.
         outgoing: The OutgoingRequest.
-        connections: The TargetConnectionPool.
+        paths: The TargetPaths.
         deadline_s: Time on the loop's clock at which the caller stops waiting.
+        may_relay: Whether another VM may send the request where this one does not reach
+            the target.
     """
 
-    def __init__(self, dispatch, outgoing, connections, deadline_s):
+    def __init__(self, dispatch, outgoing, paths, deadline_s, may_relay=True):
         self._dispatch = dispatch
         self._entry = dispatch.entry
         self._outgoing = outgoing
-        self._connections = connections
+        self._paths = paths
+        self._connections = paths.connections
         self._deadline_s = deadline_s
+        self._may_relay = may_relay
+        self._relay = None
+        self._is_target_down = False
         self._clock = asyncio.get_running_loop().time
         self._started_s = self._clock()
         self._sent = False
@@ -135,14 +169,19 @@
         reason = str(error) or type(error).__name__
         if not self._sent:
             return self._result(Outcome.NOT_SENT, reason=reason)
-        refused = isinstance(error, ConnectionRefusedError)
-        crashed = refused or await self._connections.refuses(self._entry)
         result = self._result(Outcome.BROKEN, reason=reason)
-        return attrs.evolve(result, target_crashed=crashed)
+        if self._relay is not None:
+            return result
+        cause = await self._paths.break_cause(self._entry)
+        end = attrs.evolve(result.end, path_cut=cause is BreakCause.PATH_CUT)
+        crashed = cause is BreakCause.TARGET_CRASHED
+        return attrs.evolve(result, end=end, target_crashed=crashed)
 
     async def _send(self):
         idempotent = self._outgoing.idempotent
-        channel = self._connections.take_idle(self._entry.key, idempotent)
+        channel = None
+        if self._paths.may_reuse(self._entry):
+            channel = self._connections.take_idle(self._entry.key, idempotent)
         if channel is not None:
             try:
                 return await self._exchange(channel)
@@ -153,15 +192,88 @@
                     raise
                 self._connections.drop(self._entry.key)
                 self._abort_channel()
-        return await self._exchange(await self._connections.open(self._entry.address))
+        return await self._send_on_new_connection()
+
+    async def _send_on_new_connection(self):
+        """Send the request over a new connection, or through another VM."""
+        if self._paths.reaches(self._entry):
+            try:
+                channel = await self._paths.connect(self._entry)
+            except OSError:
+                result = await self._send_through_relays()
+                if result is None:
+                    raise
+                return result
+            return await self._exchange(channel)
+        result = await self._send_through_relays()
+        if result is not None:
+            return result
+        return await self._exchange(await self._paths.connect(self._entry))
+
+    async def _send_through_relays(self):
+        """Let other VMs send the request, one after the other until one reaches it.
+
+        Returns:
+            The AttemptResult, or None if none of them could send it.
+        """
+        if not self._may_relay:
+            return None
+        members = self._paths.relays(self._entry, self._outgoing.request_id)
+        for member in members:
+            relay = RelayEndpoint((member.name, member.incarnation), member.address)
+            result = await self._send_through(relay)
+            if result is not None:
+                return result
+        if self._is_target_down:
+            self._paths.target_failed_everywhere(self._entry)
+        return None
+
+    async def _send_through(self, relay):
+        """Let one VM send the request; return None if it could not."""
+        pool = self._paths.relay_connections
+        try:
+            channel = pool.take_idle(relay.key, self._outgoing.idempotent)
+            if channel is None:
+                channel = await pool.open(relay.address)
+        except OSError:
+            return None
+        self._relay = relay
+        result = await self._exchange(channel)
+        if result.end.outcome is Outcome.NOT_SENT:
+            self._relay = None
+            self._sent = False
+            self._metadata = None
+            return None
+        return result
 
     async def _exchange(self, channel):
+        """Send the request on a connection, watch it, and receive the response."""
         self._channel = channel
+        if self._relay is not None:
+            return await self._exchange_unwatched(channel)
+        silence_s = self._paths.silence_s(self._dispatch.expected_s)
+        timer = asyncio.get_running_loop().call_later(
+            silence_s, self._paths.suspect, self._entry, self._clock()
+        )
+        # Sent again on another path, a request must be idempotent.
+        on_lost = channel.abort if self._outgoing.idempotent else lambda: None
+        self._paths.watch(self._entry, on_lost)
+        try:
+            return await self._exchange_unwatched(channel)
+        finally:
+            timer.cancel()
+            self._paths.unwatch(self._entry, on_lost)
+
+    async def _exchange_unwatched(self, channel):
         is_first = channel.exchange_count == 0
         outgoing = self._outgoing
         headers = target_request_headers(
             outgoing.headers, self._entry.id, self._deadline_s - self._clock()
         )
+        if self._relay is not None:
+            headers = relay_request_headers(
+                headers, self._entry.key, outgoing.idempotent
+            )
         sending = None
         if outgoing.body is None:
             headers += outgoing.framing
@@ -205,9 +317,16 @@
         """
         for _ in range(STRAY_RESPONSES_MAX):
             head = await channel.receive_head()
+            if self._relay is None:
+                self._paths.record_contact(self._entry)
+            elif outcome := relay_outcome(head.headers):
+                self._is_target_down = outcome == TARGET_DOWN
+                await channel.read_body(BUFFERED_BYTES_MAX)
+                self._put_back(channel, None)
+                return self._result(Outcome.NOT_SENT, reason="not sent by the relay")
             metadata = parse_response_headers(head.status_code, head.headers)
             body = await channel.read_body(BUFFERED_BYTES_MAX)
-            if self._matches_request(metadata, is_first):
+            if self._relay is not None or self._matches_request(metadata, is_first):
                 if body is not None and not channel.is_framed:
                     await self._check_target_runs()
                 self._metadata = metadata
@@ -224,7 +343,7 @@
         Raises:
             ConnectionRefusedError: The target's process has ended.
         """
-        if await self._connections.refuses(self._entry):
+        if await self._paths.break_cause(self._entry) is not BreakCause.OTHER:
             raise ConnectionRefusedError("target ended inside its response")
 
     def _matches_request(self, metadata, is_first):
@@ -242,11 +361,13 @@
         own: the outcome is unknown, hence BROKEN.
         """
         if metadata.not_run and not metadata.signed:
-            self._put_back(channel, metadata)
+            self._put_back(channel, metadata.idle_s)
             outcome = Outcome.REJECTED
             if metadata.misdirected:
                 outcome = Outcome.MISDIRECTED
-            return self._result(outcome, reason=f"status {head.status_code}")
+            rejection = TargetResponse(head.status_code, list(head.headers), body)
+            result = self._result(outcome, reason=f"status {head.status_code}")
+            return attrs.evolve(result, rejection=rejection)
         succeeded = 200 <= head.status_code < 300
         if not metadata.signed or metadata.encoded:
             reason = f"status {head.status_code} without a target's signature"
@@ -257,12 +378,15 @@
             response.channel = channel
             self._channel = None
         else:
-            self._put_back(channel, metadata)
+            self._put_back(channel, metadata.idle_s)
         return self._result(outcome, response)
 
-    def _put_back(self, channel, metadata):
+    def _put_back(self, channel, idle_s):
         self._channel = None
-        self._connections.put_back(self._entry, channel, metadata.idle_s)
+        if self._relay is None:
+            self._connections.put_back(self._entry, channel, idle_s)
+        else:
+            self._paths.relay_connections.put_back(self._relay, channel, None)
 
     def _abort_channel(self):
         self._channel.abort()
@@ -278,7 +402,7 @@
             cold_left_s=metadata.cold_left_s if metadata else None,
             limit_per_s=self._stated_limit(),
         )
-        return AttemptResult(end, self._entry, response, reason)
+        return AttemptResult(end, self._entry, response, reason, relay=self._relay)
 
     def _stated_limit(self):
         """Return the limit in the response if its sender is the expected target."""
--- a/sesamespring/gateway/cluster_state.py
+++ b/sesamespring/gateway/cluster_state.py
@@ -81,6 +81,11 @@
         """The TableReplica of the targets' table."""
         return self._registrations
 
+    @property
+    def entries(self):
+        """List of the TargetEntries of all registered targets."""
+        return list(self._entries.values())
+
     @property
     def target_keys(self):
         """Set of the keys of all registered targets."""
--- a/sesamespring/gateway/connection_pool.py
+++ b/sesamespring/gateway/connection_pool.py
@@ -22,12 +22,12 @@
     """The idle Channels to all targets, by TargetEntry key.
 
     Args:
-        counters: The Counters.
+        on_open: Function without arguments, called before each new connection.
     """
 
-    def __init__(self, counters):
+    def __init__(self, on_open):
         self._idle = {}
-        self._counters = counters
+        self._on_open = on_open
 
     def take_idle(self, key, idempotent):
         """Return an idle Channel that is not about to be closed by the target, or None.
@@ -62,7 +62,7 @@
         Raises:
             OSError: The connection was not made within ``CONNECT_TIMEOUT_S``.
         """
-        self._counters.add("target_connections")
+        self._on_open()
         return await open_channel(address, CONNECT_TIMEOUT_S)
 
     async def refuses(self, entry):
@@ -73,16 +73,20 @@
         Args:
             entry: The TargetEntry.
         """
-        self._counters.add("target_connections")
+        self._on_open()
         try:
             channel = await open_channel(entry.address, REFUSAL_TIMEOUT_S)
         except ConnectionRefusedError:
             return True
         except OSError:
             return False
+        self.keep_unused(entry, channel)
+        return False
+
+    def keep_unused(self, entry, channel):
+        """Keep a new Channel to a target for a request."""
         channel.idle_since_s = asyncio.get_running_loop().time()
         self._keep(entry, channel)
-        return False
 
     def put_back(self, entry, channel, idle_s):
         """Keep a Channel after a complete response, or close it.
--- a/sesamespring/gateway/context.py
+++ b/sesamespring/gateway/context.py
@@ -14,6 +14,7 @@
         routes: The RouteTable, or None before the first configuration.
         slot_client: The SlotClient.
         target_connections: The TargetConnectionPool.
+        paths: The TargetPaths.
         limits: The TargetLimits.
         quarantine: The RequestQuarantine.
         counters: The Counters.
@@ -28,6 +29,7 @@
     routes: object
     slot_client: object
     target_connections: object
+    paths: object
     limits: object
     quarantine: object
     counters: object
--- a/sesamespring/gateway/daemon.py
+++ b/sesamespring/gateway/daemon.py
@@ -25,12 +25,14 @@
 from sesamespring.gateway.peers import Peers
 from sesamespring.gateway.prober import Prober
 from sesamespring.gateway.quarantine_rows import QuarantineRows
+from sesamespring.gateway.relay_server import RelayServer
 from sesamespring.gateway.request_quarantine import RequestQuarantine
 from sesamespring.gateway.services import Services
 from sesamespring.gateway.slot_client import SlotClient
 from sesamespring.gateway.slot_server import SlotServer
 from sesamespring.gateway.table_sync import FeedServer, PollTiming, TableSync
 from sesamespring.gateway.target_limits import TargetLimits
+from sesamespring.gateway.target_paths import TargetPaths
 from sesamespring.http.pipeline import ServerLimits
 from sesamespring.platform.operator_table import OPERATOR_TABLE
 from sesamespring.platform.registrations import TARGETS_TABLE
@@ -115,7 +117,16 @@
             self._log,
             {OPERATOR_TABLE: OPERATOR_POLL_TIMING, TARGETS_TABLE: TARGETS_POLL_TIMING},
         )
-        self._target_connections = TargetConnectionPool(self._counters)
+        self._target_connections = TargetConnectionPool(
+            lambda: self._counters.add("target_connections")
+        )
+        self._relay_connections = TargetConnectionPool(
+            lambda: self._counters.add("relay_connections")
+        )
+        self._paths = TargetPaths(
+            self._peers, self._target_connections, self._relay_connections, self._log
+        )
+        self._paths.on_change = self._paths_changed
         self._services = Services(
             settings,
             self._cluster_state,
@@ -134,19 +145,21 @@
         self._slot_server.register_handlers()
         probes_per_s = settings.bounds.probes_per_s
         self._prober = Prober(
-            self._services, self._limits, self._counters, probes_per_s
+            self._services, self._limits, self._paths, self._counters, probes_per_s
         )
         self._context = GatewayContext(
             self._cluster_state,
             None,
             self._slot_client,
             self._target_connections,
+            self._paths,
             self._limits,
             self._quarantine,
             self._counters,
             self._log,
             settings.data_centre,
         )
+        self._relay = RelayServer(self._context)
         self._quarantine.on_quarantined = self._context.content_quarantined
         self._callers = CallerConnections(
             self._serve, self._connections_max(), self._caller_limits
@@ -159,6 +172,7 @@
         self._log.event("starting", data_centre=settings.data_centre, ip=settings.ip)
         async with contextlib.AsyncExitStack() as stack:
             stack.callback(self._target_connections.close)
+            stack.callback(self._relay_connections.close)
             stack.callback(self._store.close)
             stack.callback(self._table_sync.close)
             stack.callback(self._services.close)
@@ -178,12 +192,15 @@
         self._log.event("reload", outcome="nothing-to-change")
 
     def _background_coroutines(self):
+        serves = self._settings.callers_address is not None
         return [
             self._peers.run(),
             self._peers.register(),
             *(self._table_sync.run(r) for r in self._cluster_state.replicas.values()),
             self._quarantine_rows.run(),
             self._prober.run(),
+            # A process that only serves the directory sends nothing to targets.
+            *([self._paths.run()] if serves else []),
             self._run_housekeeping(),
         ]
 
@@ -202,7 +219,7 @@
         )
         ready = ReadinessHandler(lambda: self._ready)
         feed = FeedServer(self._cluster_state.replicas)
-        internal = InternalHandler(feed, self._counters)
+        internal = InternalHandler(feed, self._relay, self._counters)
         listeners = [
             (directory.handle, settings.directory_address),
             (ready.handle, settings.ready_address),
@@ -229,6 +246,11 @@
         serves = self._settings.callers_address is not None
         return serves and self._cluster_state.ready and not self._leaving
 
+    @property
+    def _has_work(self):
+        """Whether requests of callers or attempts for other VMs are in progress."""
+        return self._callers.active or self._relay.in_progress > 0
+
     def _local_state(self):
         return {
             "ready": self._ready,
@@ -238,6 +260,7 @@
             "targets_version": self._cluster_state.registrations.changed_version,
             "operator_era": self._cluster_state.operator.era,
             "targets_era": self._cluster_state.registrations.era,
+            "unreachable_services": self._paths.unreachable_services,
         }
 
     def _connections_max(self):
@@ -258,12 +281,17 @@
             self._counters.set("configuration_version", configuration.version)
             routes = self._context.routes
             self._context.routes = RouteTable(configuration.routes, routes)
+        self._paths.set_targets(self._cluster_state.entries)
         self._services.update()
         if self._ready != self._was_ready:
             self._was_ready = self._ready
             self._log.event("ready", ready=self._ready)
             self._peers.broadcast_heartbeat()
 
+    def _paths_changed(self):
+        self._services.update()
+        self._peers.broadcast_heartbeat()
+
     def _peers_changed(self):
         self._services.update()
         self._slot_server.keep_only({m.address for m in self._peers.alive.values()})
@@ -296,7 +324,7 @@
         self._callers.stop_accepting()
         self._callers.close_idle()
         last_s = started_s + grace_s - LAST_RESPONSES_S / 2
-        while self._callers.active and loop.time() < last_s:
+        while self._has_work and loop.time() < last_s:
             await asyncio.sleep(STOP_POLL_INTERVAL_S)
             self._callers.close_idle()
 
--- a/sesamespring/gateway/datagrams.thrift
+++ b/sesamespring/gateway/datagrams.thrift
@@ -45,6 +45,8 @@
   13: optional i32 targets_era = -1
   14: optional list<TargetLimit> limits
   15: optional list<RequestCrashes> crash_records
+  /* Services whose targets the VM does not reach over its own links. */
+  16: optional list<string> unreachable_services
 }
 
 /* Names VMs to one that has just started. */
--- a/sesamespring/gateway/forwarding.py
+++ b/sesamespring/gateway/forwarding.py
@@ -210,7 +210,7 @@
         attempt = Attempt(
             dispatch,
             self._outgoing,
-            self._context.target_connections,
+            self._context.paths,
             dispatch.request.deadline_s,
         )
         task = self._loop.create_task(attempt.run())
@@ -316,8 +316,7 @@
         self._cancel_others(result.end.attempt)
         channel = result.response.channel
         deadline_s = self._slot_request.request.deadline_s
-        connections = self._context.target_connections
-        has_target_ended = functools.partial(connections.refuses, result.entry)
+        has_target_ended = functools.partial(self._has_target_ended, result)
         try:
             await stream_response(
                 self._incoming, result.response, deadline_s, has_target_ended
@@ -332,12 +331,30 @@
             if outcome is Outcome.BROKEN:
                 channel.abort()
             else:
-                connections.put_back(result.entry, channel, None)
+                self._put_back(result)
             end = attrs.evolve(result.end, outcome=outcome)
             self._context.slot_client.finish_attempt(self._slot_request, end)
             self._admission.attempt_ended(result.entry, outcome, crashed)
         return True
 
+    async def _has_target_ended(self, result):
+        """Return whether the target that sends a response has ended, as far as known.
+
+        A VM that made the attempt cuts its own response short in that case.
+        """
+        if result.relay is not None:
+            return False
+        return await self._context.target_connections.refuses(result.entry)
+
+    def _put_back(self, result):
+        """Keep the connection of a streamed response that is complete."""
+        channel = result.response.channel
+        if result.relay is not None:
+            pool = self._context.paths.relay_connections
+            pool.put_back(result.relay, channel, None)
+        else:
+            self._context.target_connections.put_back(result.entry, channel, None)
+
     def _cancel_others(self, attempt):
         for number, task in self._tasks.items():
             if number != attempt:
--- a/sesamespring/gateway/http_handlers.py
+++ b/sesamespring/gateway/http_handlers.py
@@ -1,6 +1,7 @@
 """Handle HTTP requests for the directory, readiness, metrics and table copies."""
 
 from sesamespring.gateway.metrics import CONTENT_TYPE, render
+from sesamespring.gateway.relay_messages import parse_reachability_path
 from sesamespring.platform.directory import (
     encode_resolve_response,
     is_readiness_check,
@@ -72,19 +73,27 @@
 
 
 class InternalHandler:
-    """Serves this VM's copies of the tables to other VMs, and its metrics.
+    """Serves other VMs: copies of the tables, attempts at targets; and the metrics.
 
     Args:
         feed: The FeedServer.
+        relay: The RelayServer.
         counters: The Counters.
     """
 
-    def __init__(self, feed, counters):
+    def __init__(self, feed, relay, counters):
         self._feed = feed
+        self._relay = relay
         self._counters = counters
 
     async def handle(self, incoming):
         """Respond to one IncomingRequest."""
+        if await self._relay.handle(incoming):
+            return
+        key = parse_reachability_path(incoming.target)
+        if key is not None:
+            await self._relay.respond_reachability(incoming, key)
+            return
         if incoming.target == METRICS_PATH:
             headers = [("Content-Type", CONTENT_TYPE)]
             incoming.send_whole(200, headers, render(self._counters))
--- a/sesamespring/gateway/peers.py
+++ b/sesamespring/gateway/peers.py
@@ -207,6 +207,7 @@
             callers_port=own.callers_port,
             limits=self._limits.for_heartbeat(),
             crash_records=self._quarantine.for_heartbeat(),
+            unreachable_services=list(own.unreachable_services),
         )
 
     def _expire_addresses(self):
@@ -243,6 +244,7 @@
         fields = dict(vars(message))
         limits = fields.pop("limits") or []
         crash_records = fields.pop("crash_records") or []
+        fields["unreachable_services"] = tuple(fields["unreachable_services"] or ())
         member = Member(name=fields.pop("vm"), address=address, **fields)
         self._limits.record_heartbeat(limits, member.name)
         self._quarantine.record_heartbeat(crash_records, member.name)
--- a/sesamespring/gateway/prober.py
+++ b/sesamespring/gateway/prober.py
@@ -4,7 +4,6 @@
 
 import h11
 
-from sesamespring.http.channel import open_channel
 from sesamespring.platform.headers import parse_response_headers
 
 __all__ = ["Prober"]
@@ -29,13 +28,15 @@
         services: Object whose ``services_to_probe()`` returns pairs of ServiceRunner
             and health path of the services whose targets are probed.
         limits: The TargetLimits.
+        paths: The TargetPaths.
         counters: The Counters.
         probes_per_s: Maximum rate of health checks to one target, per second.
     """
 
-    def __init__(self, services, limits, counters, probes_per_s):
+    def __init__(self, services, limits, paths, counters, probes_per_s):
         self._services = services
         self._limits = limits
+        self._paths = paths
         self._counters = counters
         self._interval_s = max(REPORT_AGE_MAX_S, CONCURRENT_PROBERS / probes_per_s)
         self._channels = {}
@@ -97,6 +98,7 @@
             self._close_channel(key)
         else:
             now_s = self._loop.time()
+            self._paths.record_contact(state.entry)
             if metadata.target_id in (None, state.entry.id):
                 self._limits.record_response(key, metadata.limit_per_s)
                 runner.scheduler.record_load(
@@ -109,7 +111,7 @@
         self._counters.add("health_checks")
         channel = self._channels.get(entry.key)
         if channel is None or not channel.usable:
-            channel = await open_channel(entry.address, TIMEOUT_S)
+            channel = await self._paths.connect(entry)
             self._channels[entry.key] = channel
         host = f"{entry.address[0]}:{entry.address[1]}"
         channel.send_head("GET", path, [("Host", host)])
--- /dev/null
+++ b/sesamespring/gateway/relay_messages.py
@@ -0,0 +1,108 @@
+"""Headers with which VMs pass single attempts on to each other over HTTP."""
+
+from urllib.parse import quote, unquote
+
+import attrs
+
+from sesamespring.http.headers import header
+
+__all__ = [
+    "NOT_SENT",
+    "TARGET_DOWN",
+    "RelayOrder",
+    "parse_reachability_path",
+    "parse_relay_order",
+    "reachability_path",
+    "relay_outcome",
+    "relay_outcome_header",
+    "relay_request_headers",
+]
+
+_TARGET = b"relay-target"
+_IDEMPOTENT = b"relay-idempotent"
+_OUTCOME = b"relay-outcome"
+_RELAY_HEADERS = frozenset({_TARGET, _IDEMPOTENT, _OUTCOME})
+# Outcomes of an attempt of which no byte was sent to the target. The second one says
+# that the VM reaches other targets of the service.
+NOT_SENT = b"not-sent"
+TARGET_DOWN = b"target-down"
+_REACHABILITY_PREFIX = "/reachability/"
+
+
+@attrs.frozen
+class RelayOrder:
+    """A request to make one attempt for another VM.
+
+    Attributes:
+        key: Key of the target.
+        idempotent: Whether the request may run more than once.
+        headers: The caller's headers, without those of this module.
+    """
+
+    key: tuple
+    idempotent: bool
+    headers: list
+
+
+def relay_request_headers(headers, key, idempotent):
+    """Return the headers of an attempt that another VM is to make.
+
+    Args:
+        headers: The headers for the target, as pairs of bytes.
+        key: Key of the target.
+        idempotent: Whether the request may run more than once.
+
+    >>> headers = relay_request_headers([(b"host", b"a")], ("t1", 7), True)
+    >>> parse_relay_order(headers)
+    RelayOrder(key=('t1', 7), idempotent=True, headers=[(b'host', b'a')])
+    """
+    target_id, born_ms = key
+    return [
+        *_without_relay_headers(headers),
+        (_TARGET, b"%s %d" % (target_id.encode(), born_ms)),
+        (_IDEMPOTENT, b"%d" % idempotent),
+    ]
+
+
+def parse_relay_order(headers):
+    """Return the RelayOrder in the headers of a request, or None if there is none."""
+    key = _parse_key(header(headers, _TARGET, ""), " ")
+    if key is None:
+        return None
+    idempotent = header(headers, _IDEMPOTENT) == "1"
+    return RelayOrder(key, idempotent, _without_relay_headers(headers))
+
+
+def relay_outcome_header(outcome):
+    """Return the header that states NOT_SENT or TARGET_DOWN to the other VM."""
+    return (_OUTCOME, outcome)
+
+
+def relay_outcome(headers):
+    """Return NOT_SENT or TARGET_DOWN, or None if the response is a target's."""
+    return next((value for name, value in headers if name == _OUTCOME), None)
+
+
+def reachability_path(key):
+    """Return the path at which a VM says whether it reaches a target.
+
+    >>> parse_reachability_path(reachability_path(("t1", 7)))
+    ('t1', 7)
+    """
+    return f"{_REACHABILITY_PREFIX}{quote(key[0], safe='')}/{key[1]}"
+
+
+def parse_reachability_path(path):
+    """Return the key of the target in such a path, or None for any other path."""
+    if not path.startswith(_REACHABILITY_PREFIX):
+        return None
+    return _parse_key(unquote(path.removeprefix(_REACHABILITY_PREFIX)), "/")
+
+
+def _parse_key(text, separator):
+    target_id, _, born_ms = text.rpartition(separator)
+    return (target_id, int(born_ms)) if target_id and born_ms.isdigit() else None
+
+
+def _without_relay_headers(headers):
+    return [pair for pair in headers if pair[0] not in _RELAY_HEADERS]
--- a/sesamespring/gateway/request_report.py
+++ b/sesamespring/gateway/request_report.py
@@ -73,6 +73,14 @@
         outcome = result.end.outcome.value
         self._context.counters.add("attempts", service=self.service, outcome=outcome)
         if not failed:
+            if result.relay is not None:
+                self._context.log.routine(
+                    "attempt-relayed",
+                    request=self._request_id_text(),
+                    target=result.entry.id,
+                    relay=result.relay.key[0],
+                    taken_s=result.end.taken_s,
+                )
             return
         self._context.log.event(
             "attempt-failed",
@@ -82,6 +90,8 @@
             target=result.entry.id,
             outcome=outcome,
             target_crashed=result.target_crashed,
+            path_cut=result.end.path_cut,
+            relay=result.relay.key[0] if result.relay else None,
             reason=result.reason,
             taken_s=result.end.taken_s,
         )
--- a/sesamespring/gateway/services.py
+++ b/sesamespring/gateway/services.py
@@ -42,7 +42,7 @@
         """Return the name of a service's decider, or an empty string without VMs."""
         decider = self._deciders.get(service)
         if decider is None:
-            order = decider_order(service, self._serving_members())
+            order = decider_order(service, self._members_reaching(service))
             decider = self._deciders[service] = order[0] if order else ""
         return decider
 
@@ -53,7 +53,7 @@
         if members is None:
             slots = sum(entry.slots for entry in self._cluster_state.targets(service))
             members = vms_for_callers(
-                service, self._serving_members(), data_centre, slots
+                service, self._members_reaching(service), data_centre, slots
             )
             self._vms_for_callers[key] = members
         return members
@@ -130,6 +130,12 @@
         )
         return ServiceScheduler(declaration, bounds, budget, self._limits.stated)
 
+    def _members_reaching(self, service):
+        """Return the serving Members that reach a service's targets, or all if none."""
+        serving = self._serving_members()
+        reaching = [m for m in serving if service not in m.unreachable_services]
+        return reaching or serving
+
     def _serving_members(self):
         """Return the Members that accept requests.
 
--- a/sesamespring/routing/membership.py
+++ b/sesamespring/routing/membership.py
@@ -42,6 +42,7 @@
         operator_era: Era of the store that ``operator_version`` belongs to, or -1 if
             unknown; versions of different eras have no order.
         targets_era: The same for the targets' table.
+        unreachable_services: Tuple of the services whose targets it does not reach.
     """
 
     name: str
@@ -58,6 +59,7 @@
     targets_version: int
     operator_era: int = -1
     targets_era: int = -1
+    unreachable_services: tuple = ()
 
 
 def heartbeat_interval_factor(vms):
@@ -148,4 +150,10 @@
 
 
 def _state(member):
-    return (member.incarnation, member.ready, member.leaving, member.store_reached)
+    return (
+        member.incarnation,
+        member.ready,
+        member.leaving,
+        member.store_reached,
+        member.unreachable_services,
+    )
--- a/tests/gateway/cluster.py
+++ b/tests/gateway/cluster.py
@@ -117,9 +117,8 @@
         for number in range(STORE_ADDRESSES):
             await self.store.start(*self.store_address(number))
         self._stack.callback(self.store.close)
-        for module in ("connection_pool", "prober"):
-            name = f"sesamespring.gateway.{module}.open_channel"
-            self._stack.enter_context(mock.patch(name, self._open_channel))
+        name = "sesamespring.gateway.connection_pool.open_channel"
+        self._stack.enter_context(mock.patch(name, self._open_channel))
         await self.store.put("op", "config", configuration())
         for number in range(len(self.targets)):
             await self.start_target(number)
