Do not report an attempt as unsent after its first connection broke

What callers saw: a request that ends its targets was sent on, under its own id to up to six targets.

Cause, from the relays between VMs: an idempotent request whose idle connection broke is sent again on a new one. When that was refused, other VMs were asked to send it, and their 'not sent' was taken for the whole attempt. So nothing counted as a crash, and the attempt was given back to the request.

Change: a request that has left on one connection is not passed to other VMs when the next is refused; what has been sent stays sent. The other targets to which a VM compares a refusal are those that it has just reached, and three instead of two.

--- a/sesamespring/gateway/attempt.py
+++ b/sesamespring/gateway/attempt.py
@@ -195,11 +195,17 @@
         return await self._send_on_new_connection()
 
     async def _send_on_new_connection(self):
-        """Send the request over a new connection, or through another VM."""
+        """Send the request over a new connection, or through another VM.
+
+        If a first connection broke with the request on it and a new one is refused, the
+        request may have ended the target, so no other VM tries the same target.
+        """
         if self._paths.reaches(self._entry):
             try:
                 channel = await self._paths.connect(self._entry)
             except OSError:
+                if self._sent:
+                    raise
                 result = await self._send_through_relays()
                 if result is None:
                     raise
@@ -238,11 +244,11 @@
         except OSError:
             return None
         self._relay = relay
+        was_sent = self._sent
         result = await self._exchange(channel)
         if result.end.outcome is Outcome.NOT_SENT:
             self._relay = None
-            self._sent = False
-            self._metadata = None
+            self._sent = was_sent
             return None
         return result
 
--- a/sesamespring/gateway/target_paths.py
+++ b/sesamespring/gateway/target_paths.py
@@ -23,6 +23,8 @@
 EVIDENCE_LIFETIME_S = 1.0
 DOUBTED_PER_ROUND = 2
 RELAYS_MAX = 2
+# Targets that show, after one has refused a connection, that the VM's links work.
+COMPARED_TARGETS_MAX = 3
 PEER_RESPONSE_TIMEOUT_S = 0.3
 # An attempt without a response for this many times its expected duration makes the VM
 # test its link to the target.
@@ -307,10 +309,15 @@
             for other in self._reachability.entries(service)
             if other.key != entry.key
         ]
-        others.sort(key=lambda e: -self._reachability.contact_s(e.key))
+        others.sort(
+            key=lambda e: (
+                self._reachability.has_failed(e.key),
+                -self._reachability.contact_s(e.key),
+            )
+        )
         if not others:
             return True
-        tests = [self._test(other) for other in others[:RELAYS_MAX]]
+        tests = [self._test(other) for other in others[:COMPARED_TARGETS_MAX]]
         return any(await asyncio.gather(*tests))
 
     async def _is_refused_elsewhere(self, entry):
--- a/tests/gateway/test_quarantine.py
+++ b/tests/gateway/test_quarantine.py
@@ -95,6 +95,13 @@
     return sorted(at_s for target in cluster.targets for at_s in target.crashes)
 
 
+async def open_idle_connections(cluster):
+    """Let each VM have idle connections to all targets."""
+    for ip in cluster.ips:
+        calls = [cluster.call(ip, f"i{time.monotonic_ns()}") for _ in range(12)]
+        await asyncio.gather(*calls)
+
+
 def late_arrivals(cluster):
     """Return how often fatal requests reached targets when all VMs had to know."""
     third_s = ends(cluster)[2]
@@ -126,6 +133,24 @@
     run_scenario(inside, **options)
 
 
+def test_request_that_ends_targets_on_idle_connections_is_quarantined():
+    async def scenario(cluster):
+        for target in cluster.targets:
+            target.ends_on = is_fatal
+        await open_idle_connections(cluster)
+        fatal = [
+            await cluster.call(
+                cluster.ips[number % 3], f"fatal{number}", path=FATAL_PATH
+            )
+            for number in range(4)
+        ]
+        assert len(ends(cluster)) == 3
+        assert fatal[-1].status == 503
+        assert "retry-after" in fatal[-1].headers
+
+    run_scenario(scenario, vms=3, targets=6, work_s=0.03)
+
+
 def test_request_that_has_ended_three_targets_is_not_sent_on_by_any_vm():
     async def scenario(cluster):
         await send_fatal(cluster, 7.0)
