--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -24,11 +24,13 @@
         at_s: Time of its arrival, on the monotonic clock.
         request_id: The request id that the caller chose.
         accepted: Whether the target ran it; it is rejected if no slot is free.
+        client_ip: IP address of the VM that sent it.
     """
 
     at_s: float
     request_id: str
     accepted: bool
+    client_ip: str | None = None
 
 
 @attrs.define
@@ -91,6 +93,7 @@
             none for so many seconds.
         health_checks: List of the times at which health checks arrived, on the
             monotonic clock.
+        checked_by: List of the IP addresses of the VMs that sent them.
         endless: Whether its health checks get bytes without end.
         unreachable_from: Set of IP addresses of clients whose connections have fallen
             silent: no request is read from them, and no response reaches them.
@@ -117,6 +120,7 @@
         self.limit_per_s = None
         self.busy_s = None
         self.health_checks = []
+        self.checked_by = []
         self.endless = False
         self.unreachable_from = set()
         self._running = 0
@@ -168,6 +172,7 @@
         request_headers = dict(_parse_field(line) for line in lines[1:] if line)
         if target == "/health":
             self.health_checks.append(time.monotonic())
+            self.checked_by.append(_client_ip(writer))
             if self.endless:
                 return await self._write_endlessly(writer, b"noise ")
             headers = {"Sesamespring-Instance-Id": self.id}
@@ -182,7 +187,9 @@
         if writer in self._late_copies:
             await self._send(writer, 200, *self._late_copies.pop(writer))
         accepted = self._running < self.slots and self.busy_s is None
-        self.arrivals.append(Arrival(time.monotonic(), request_id, accepted))
+        self.arrivals.append(
+            Arrival(time.monotonic(), request_id, accepted, _client_ip(writer))
+        )
         if not accepted:
             self.overrun += 1
             await _read_body(reader, request_headers)
