Refuse a request at once when it has tried all targets in service

What callers saw: a request that the only target of its service had rejected waited for its deadline (503 'no slot in time' after 1 s) and was neither sent nor refused.

Cause: a request without a possible slot counted as one that waits for a target it has not been sent to, whether there was one or not.

Change: it is refused (no-untried-target) if each target in service is among those it has tried. One that has an untried target in backoff still waits. The test of the refusal fails before, that of the wait does not.

--- a/sesamespring/routing/messages.py
+++ b/sesamespring/routing/messages.py
@@ -51,6 +51,7 @@
     NO_TARGETS = "no-targets"
     TOO_LATE = "too-late"
     NO_ATTEMPT_LEFT = "no-attempt-left"
+    NO_UNTRIED_TARGET = "no-untried-target"
 
 
 @attrs.define(eq=False, slots=True)
--- a/sesamespring/routing/scheduler.py
+++ b/sesamespring/routing/scheduler.py
@@ -298,8 +298,12 @@
             self._refuse(assignment, now_s, commands)
         for assignment in plan.assignments:
             number = assignment.request.number
-            if number in self._waiting and assignment.starts_now:
+            if number not in self._waiting:
+                continue
+            if assignment.starts_now:
                 self._send(assignment, now_s, commands)
+            elif assignment.slot is None and self._has_tried_all(assignment.request):
+                self._refuse_tried(assignment.request, commands)
 
     def _send(self, assignment, now_s, commands):
         request, slot = assignment.request, assignment.slot
@@ -349,6 +353,19 @@
             Refusal(request, reason, retry_after_s, len(self._waiting), needed_s)
         )
 
+    def _has_tried_all(self, request):
+        """Return whether no target in service is left that a request may be sent to."""
+        return all(
+            key in request.tried
+            for key, state in self._states.items()
+            if state.in_service
+        )
+
+    def _refuse_tried(self, request, commands):
+        del self._waiting[request.number]
+        reason = RefusalReason.NO_UNTRIED_TARGET
+        commands.append(Refusal(request, reason, RETRY_AFTER_MIN_S))
+
     def _refuse_all(self, now_s, commands):
         for request in self._waiting.values():
             reason = RefusalReason.NO_TARGETS
--- a/tests/routing/test_scheduler.py
+++ b/tests/routing/test_scheduler.py
@@ -339,3 +339,22 @@
         ended = AttemptEnded(dispatch.attempt, Outcome.BROKEN, 0.1, path_cut=True)
         scheduler.finish_attempt(ended, 0.1)
     assert scheduler.submit(make_request(0.1), 0.1)
+
+
+def test_request_that_has_tried_all_targets_in_service_is_refused_at_once():
+    scheduler = make_scheduler(make_target("t"), make_target("out", leaving=True))
+    request = make_request()
+    request.tried.add(("t", 1))
+    (refusal,) = scheduler.submit(request, 0.0)
+    assert refusal.reason is RefusalReason.NO_UNTRIED_TARGET
+    assert scheduler.waiting == 0
+
+
+def test_request_waits_for_an_untried_target_that_is_rested():
+    scheduler = make_scheduler(make_target("t"), make_target("rested"))
+    scheduler.back_off_unless_heard(("rested", 1), 0.5, 0.0, 0.0)
+    request = make_request()
+    request.tried.add(("t", 1))
+    assert scheduler.submit(request, 0.0) == []
+    (dispatch,) = dispatched(scheduler.advance(0.6))
+    assert dispatch.entry.id == "rested"
