Bound what a heartbeat says of unreachable services

By reading: a VM that is cut off from all targets named each service in its heartbeats. At the size to design for (440 services) these would not fit into a datagram. It now says that it reaches no target, and otherwise names 48 services at most.

--- a/sesamespring/gateway/daemon.py
+++ b/sesamespring/gateway/daemon.py
@@ -260,7 +260,7 @@
             "targets_version": self._cluster_state.registrations.changed_version,
             "operator_era": self._cluster_state.operator.era,
             "targets_era": self._cluster_state.registrations.era,
-            "unreachable_services": self._paths.unreachable_services,
+            **self._paths.state_for_members,
         }
 
     def _connections_max(self):
--- a/sesamespring/gateway/datagrams.thrift
+++ b/sesamespring/gateway/datagrams.thrift
@@ -47,6 +47,8 @@
   15: optional list<RequestCrashes> crash_records
   /* Services whose targets the VM does not reach over its own links. */
   16: optional list<string> unreachable_services
+  /* Whether it does not reach the targets of any service; field 16 is then empty. */
+  18: optional bool reaches_no_target = false
 }
 
 /* Names VMs to one that has just started. */
--- a/sesamespring/gateway/peers.py
+++ b/sesamespring/gateway/peers.py
@@ -208,6 +208,7 @@
             limits=self._limits.for_heartbeat(),
             crash_records=self._quarantine.for_heartbeat(),
             unreachable_services=list(own.unreachable_services),
+            reaches_no_target=own.reaches_no_target,
         )
 
     def _expire_addresses(self):
--- a/sesamespring/gateway/services.py
+++ b/sesamespring/gateway/services.py
@@ -133,7 +133,7 @@
     def _members_reaching(self, service):
         """Return the serving Members that reach a service's targets, or all if none."""
         serving = self._serving_members()
-        reaching = [m for m in serving if service not in m.unreachable_services]
+        reaching = [member for member in serving if member.reaches(service)]
         return reaching or serving
 
     def _serving_members(self):
--- a/sesamespring/gateway/target_paths.py
+++ b/sesamespring/gateway/target_paths.py
@@ -32,7 +32,8 @@
 SILENCE_MIN_S = 0.25
 OK = 200
 GONE = 410
-BODY_BYTES_MAX = 1024
+# Keeps a heartbeat far below the largest datagram.
+SERVICES_PER_HEARTBEAT_MAX = 48
 
 
 class BreakCause(enum.Enum):
@@ -90,6 +91,22 @@
         """Sorted tuple of the names of the services that this VM does not reach."""
         return self._reachability.unreachable_services
 
+    @property
+    def reaches_no_target(self):
+        """Whether this VM does not reach the targets of any service."""
+        lost = self.unreachable_services
+        return bool(lost) and self._reachability.services() <= set(lost)
+
+    @property
+    def state_for_members(self):
+        """Dict of the fields with which this VM's Member states what it reaches."""
+        reaches_no_target = self.reaches_no_target
+        lost = () if reaches_no_target else self.unreachable_services
+        return {
+            "unreachable_services": lost[:SERVICES_PER_HEARTBEAT_MAX],
+            "reaches_no_target": reaches_no_target,
+        }
+
     def set_targets(self, entries):
         """Replace the targets, a list of TargetEntry."""
         self._reachability.set_targets(entries)
@@ -151,7 +168,7 @@
             for member in self._peers.alive.values()
             if member.callers_port
             and not member.leaving
-            and entry.service not in member.unreachable_services
+            and member.reaches(entry.service)
         }
         cores = {name: member.cores for name, member in members.items()}
         names = rank(request_id.decode("latin-1"), cores)
@@ -265,6 +282,8 @@
         if self.unreachable_services:
             return self._reachability.services()
         members = self._peers.alive.values()
+        if any(member.reaches_no_target for member in members):
+            return self._reachability.services()
         return {service for m in members for service in m.unreachable_services}
 
     def _is_unseen(self, entry, since_s):
--- a/sesamespring/routing/membership.py
+++ b/sesamespring/routing/membership.py
@@ -43,6 +43,7 @@
             unknown; versions of different eras have no order.
         targets_era: The same for the targets' table.
         unreachable_services: Tuple of the services whose targets it does not reach.
+        reaches_no_target: Whether it does not reach the targets of any service.
     """
 
     name: str
@@ -60,6 +61,11 @@
     operator_era: int = -1
     targets_era: int = -1
     unreachable_services: tuple = ()
+    reaches_no_target: bool = False
+
+    def reaches(self, service):
+        """Return whether it can send requests to a service's targets itself."""
+        return not self.reaches_no_target and service not in self.unreachable_services
 
 
 def heartbeat_interval_factor(vms):
@@ -156,4 +162,5 @@
         member.leaving,
         member.store_reached,
         member.unreachable_services,
+        member.reaches_no_target,
     )
