Keep to what targets demand in their responses: rest, and nothing new

Cause: no demand in a target's response was read but its limit. Retry-After on a rejection and Server-Leaving were passed on to the caller and forgotten; the choice among targets only remembered the failure, for about a second. The class, met before with Server-Limit: what an answer demands binds each way on which a request reaches the target.

Ruled out: health checks; the rule counted as many requests as there are attempt lines.

Change: a VM keeps the rest that each target asks it for, and whether a target is leaving (gateway/target_demands.py). That a target is leaving goes to all VMs with heartbeats. A slot that was not used does not count for the retry budget.

--- a/sesamespring/gateway/attempt.py
+++ b/sesamespring/gateway/attempt.py
@@ -117,6 +117,10 @@
         return self.response is not None and self.response.body is None
 
 
+class _NotWanted(Exception):
+    """Raised when the target wants no request of this VM."""
+
+
 class Attempt:
     """One attempt to run a request at a target; it owns its connection meanwhile.
 
@@ -124,16 +128,18 @@
         dispatch: The Dispatch of the scheduler.
         outgoing: The OutgoingRequest.
         paths: The TargetPaths.
+        demands: The TargetDemands.
         deadline_s: Time on the loop's clock at which the caller stops waiting.
         may_relay: Whether another VM may send the request where this one does not reach
             the target.
     """
 
-    def __init__(self, dispatch, outgoing, paths, deadline_s, may_relay=True):
+    def __init__(self, dispatch, outgoing, paths, demands, deadline_s, may_relay=True):
         self._dispatch = dispatch
         self._entry = dispatch.entry
         self._outgoing = outgoing
         self._paths = paths
+        self._demands = demands
         self._connections = paths.connections
         self._deadline_s = deadline_s
         self._may_relay = may_relay
@@ -158,6 +164,8 @@
             return self._result(outcome, reason="no answer in time")
         except asyncio.CancelledError:
             return self._result(Outcome.CANCELLED, reason="cancelled")
+        except _NotWanted:
+            return self._result_not_wanted()
         except (OSError, h11.ProtocolError) as error:
             return await self._failed_result(error)
         finally:
@@ -173,10 +181,20 @@
         if self._relay is not None:
             return result
         cause = await self._paths.break_cause(self._entry)
-        end = attrs.evolve(result.end, path_cut=cause is BreakCause.PATH_CUT)
+        end = attrs.evolve(result.end, blameless=cause is BreakCause.PATH_CUT)
         crashed = cause is BreakCause.TARGET_CRASHED
         return attrs.evolve(result, end=end, target_crashed=crashed)
 
+    def _result_not_wanted(self):
+        """Return the AttemptResult if the target wants no further request of this VM.
+
+        An earlier connection may have broken with the request on it.
+        """
+        outcome = Outcome.BROKEN if self._sent else Outcome.NOT_SENT
+        result = self._result(outcome, reason="not wanted by the target")
+        end = attrs.evolve(result.end, blameless=True)
+        return attrs.evolve(result, end=end)
+
     async def _send(self):
         idempotent = self._outgoing.idempotent
         channel = None
@@ -257,6 +275,10 @@
         self._channel = channel
         if self._relay is not None:
             return await self._exchange_unwatched(channel)
+        if not self._demands.may_send(self._entry):
+            self._channel = None
+            self._connections.keep_unused(self._entry, channel)
+            raise _NotWanted
         silence_s = self._paths.silence_s(self._dispatch.expected_s)
         timer = asyncio.get_running_loop().call_later(
             silence_s, self._paths.suspect, self._entry, self._clock()
@@ -336,6 +358,7 @@
                 if body is not None and not channel.is_framed:
                     await self._check_target_runs()
                 self._metadata = metadata
+                self._record_demands(metadata)
                 return self._classify(channel, head, metadata, body)
             if body is None:
                 break
@@ -343,6 +366,14 @@
             channel.discard_response()
         raise h11.RemoteProtocolError("target sent responses to other requests only")
 
+    def _record_demands(self, metadata):
+        """Record what the target demands; rest only if this VM sent the request."""
+        if metadata.misdirected:
+            return
+        self._demands.record_leaving(self._entry, metadata)
+        if self._relay is None and metadata.not_run:
+            self._demands.record_rest(self._entry, metadata)
+
     async def _check_target_runs(self):
         """Check that the connection ended with the response, and not with the target.
 
--- a/sesamespring/gateway/cluster_state.py
+++ b/sesamespring/gateway/cluster_state.py
@@ -3,6 +3,7 @@
 import math
 import time
 
+import attrs
 from returns.result import Failure
 
 from sesamespring.gateway.replica import TableReplica
@@ -25,6 +26,8 @@
 # Registrations that expired while the store was unavailable, and rows that it lost, are
 # written again within about two seconds after it is back.
 EXPIRED_RETENTION_S = 2.5
+# A target that stated that it was leaving has ended by then.
+STATED_LEAVING_MEMORY_S = 600.0
 
 
 class ClusterState:
@@ -50,6 +53,8 @@
         self._kept_closed = {}
         self._entries = {}
         self._expired = {}
+        # Dict of the time of the statement by key of the target that made it.
+        self._stated_leaving_s = {}
 
     @property
     def configuration(self):
@@ -105,6 +110,29 @@
         entry = self._entries.get(key[0])
         return entry if entry is not None and entry.key == key else None
 
+    def mark_leaving(self, key, source):
+        """Treat a target as leaving, whatever its registration says.
+
+        Args:
+            key: Key of the target's lifetime; the next lifetime is not affected.
+            source: Who says so, for the log.
+
+        Returns:
+            Whether this is news.
+        """
+        if key in self._stated_leaving_s:
+            return False
+        self._stated_leaving_s[key] = time.monotonic()
+        entry = self.target(key)
+        if entry is None or entry.leaving:
+            return entry is not None
+        self._log.event(
+            "target-states-leaving", target=key[0], service=entry.service, source=source
+        )
+        self._entries[key[0]] = attrs.evolve(entry, leaving=True)
+        self._on_change()
+        return True
+
     def apply_changes(self, replica, keys):
         """Update the state from changed rows.
 
@@ -123,6 +151,12 @@
     def drop_expired(self):
         """Remove targets not registered again in time after a store outage."""
         now_s = time.monotonic()
+        oldest_s = now_s - STATED_LEAVING_MEMORY_S
+        self._stated_leaving_s = {
+            key: stated_s
+            for key, stated_s in self._stated_leaving_s.items()
+            if stated_s > oldest_s
+        }
         if any(until_s <= now_s for until_s in self._kept_closed.values()):
             self._update_closed()
             self._on_change()
@@ -207,6 +241,8 @@
     def _set_entry(self, key, entry):
         before = self._entries.pop(key, None)
         if entry is not None:
+            if entry.key in self._stated_leaving_s:
+                entry = attrs.evolve(entry, leaving=True)
             self._entries[key] = entry
         self._log_entry(key, before, entry)
 
--- a/sesamespring/gateway/context.py
+++ b/sesamespring/gateway/context.py
@@ -16,6 +16,7 @@
         target_connections: The TargetConnectionPool.
         paths: The TargetPaths.
         limits: The TargetLimits.
+        demands: The TargetDemands.
         quarantine: The RequestQuarantine.
         counters: The Counters.
         log: The EventLog.
@@ -31,6 +32,7 @@
     target_connections: object
     paths: object
     limits: object
+    demands: object
     quarantine: object
     counters: object
     log: object
--- a/sesamespring/gateway/datagrams.thrift
+++ b/sesamespring/gateway/datagrams.thrift
@@ -11,7 +11,7 @@
 }
 
 /* One lifetime of a target. */
-struct CrashedTarget {
+struct TargetLifetime {
   1: required string target
   2: required i64 born_ms
 }
@@ -20,7 +20,7 @@
 struct RequestCrashes {
   1: required string content
   2: required i32 clearances
-  3: required list<CrashedTarget> crashed
+  3: required list<TargetLifetime> crashed
   4: required i32 trials
   5: required i32 reservations
   /* Seconds since its last change. */
@@ -47,6 +47,8 @@
   15: optional list<RequestCrashes> crash_records
   /* Services whose targets the VM does not reach over its own links. */
   16: optional list<string> unreachable_services
+  /* Targets that state in their responses that they are leaving. */
+  17: optional list<TargetLifetime> leaving_targets
   /* Whether it does not reach the targets of any service; field 16 is then empty. */
   18: optional bool reaches_no_target = false
 }
@@ -70,6 +72,8 @@
   10: required i32 round
   11: required list<string> tried
   12: required string data_centre
+  /* Whether it has been sent to a target before. */
+  13: optional bool extra
 }
 
 /* Says that a request waits in the queue. */
--- a/sesamespring/gateway/peers.py
+++ b/sesamespring/gateway/peers.py
@@ -37,6 +37,7 @@
             dict.
         store: The StoreClient with which this VM registers its address.
         limits: The TargetLimits that heartbeats carry.
+        demands: The TargetDemands that heartbeats carry.
         quarantine: The RequestQuarantine whose records heartbeats carry.
         log: The EventLog.
         on_change: Function without arguments, called when a VM appears, becomes silent
@@ -44,12 +45,13 @@
     """
 
     def __init__(
-        self, settings, local_state, store, limits, quarantine, log, on_change
+        self, settings, local_state, store, limits, demands, quarantine, log, on_change
     ):
         self._settings = settings
         self._local_state = local_state
         self._store = store
         self._limits = limits
+        self._demands = demands
         self._quarantine = quarantine
         self._log = log
         self._on_change = on_change
@@ -206,6 +208,7 @@
             targets_era=own.targets_era,
             callers_port=own.callers_port,
             limits=self._limits.for_heartbeat(),
+            leaving_targets=self._demands.for_heartbeat(),
             crash_records=self._quarantine.for_heartbeat(),
             unreachable_services=list(own.unreachable_services),
             reaches_no_target=own.reaches_no_target,
@@ -244,10 +247,12 @@
         now_s = self._loop.time()
         fields = dict(vars(message))
         limits = fields.pop("limits") or []
+        leaving_targets = fields.pop("leaving_targets") or []
         crash_records = fields.pop("crash_records") or []
         fields["unreachable_services"] = tuple(fields["unreachable_services"] or ())
         member = Member(name=fields.pop("vm"), address=address, **fields)
         self._limits.record_heartbeat(limits, member.name)
+        self._demands.record_heartbeat(leaving_targets, member.name)
         self._quarantine.record_heartbeat(crash_records, member.name)
         is_new = address not in self._last_received_s
         self._last_received_s[address] = now_s
--- a/sesamespring/gateway/relay_server.py
+++ b/sesamespring/gateway/relay_server.py
@@ -133,7 +133,12 @@
             idempotent=order.idempotent,
         )
         attempt = Attempt(
-            _RelayDispatch(entry), outgoing, self._context.paths, deadline_s, False
+            _RelayDispatch(entry),
+            outgoing,
+            self._context.paths,
+            self._context.demands,
+            deadline_s,
+            may_relay=False,
         )
         task = asyncio.get_running_loop().create_task(attempt.run())
         incoming.on_disconnect = task.cancel
@@ -167,7 +172,9 @@
 
     async def _respond(self, incoming, entry, result):
         if result.end.outcome is Outcome.NOT_SENT:
-            down = self._context.paths.has_evidence(entry.service)
+            down = not result.end.blameless and self._context.paths.has_evidence(
+                entry.service
+            )
             self._respond_not_sent(incoming, TARGET_DOWN if down else NOT_SENT)
         elif result.is_streamed:
             await self._stream(incoming, entry, result)
--- a/sesamespring/gateway/request_quarantine.py
+++ b/sesamespring/gateway/request_quarantine.py
@@ -4,9 +4,9 @@
 import math
 
 from sesamespring.gateway.generated.ttypes import (
-    CrashedTarget,
     CrashRecords,
     RequestCrashes,
+    TargetLifetime,
 )
 from sesamespring.routing.quarantine import (
     RESERVATION_S,
@@ -167,7 +167,7 @@
             content=record.content,
             clearances=record.clearances,
             crashed=[
-                CrashedTarget(target=target, born_ms=born_ms)
+                TargetLifetime(target=target, born_ms=born_ms)
                 for target, born_ms in sorted(record.crashed)
             ],
             trials=record.trials,
--- a/sesamespring/gateway/request_report.py
+++ b/sesamespring/gateway/request_report.py
@@ -90,7 +90,7 @@
             target=result.entry.id,
             outcome=outcome,
             target_crashed=result.target_crashed,
-            path_cut=result.end.path_cut,
+            blameless=result.end.blameless,
             relay=result.relay.key[0] if result.relay else None,
             reason=result.reason,
             taken_s=result.end.taken_s,
--- a/sesamespring/gateway/slot_client.py
+++ b/sesamespring/gateway/slot_client.py
@@ -71,6 +71,7 @@
         timer: Handle of the timer of the next check, or None.
         granted: Dict by attempt number of the _Grant of each attempt in progress.
         waiting: Whether it is waiting for a slot.
+        accepted: Number of slots that it has used.
     """
 
     service: str
@@ -83,6 +84,7 @@
     timer: object = None
     granted: dict = attrs.field(factory=dict)
     waiting: bool = False
+    accepted: int = 0
 
 
 class SlotClient:
@@ -92,14 +94,16 @@
         services: The Services.
         peers: The Peers.
         cluster_state: The ClusterState.
+        demands: The TargetDemands.
         counters: The Counters.
         log: The EventLog.
     """
 
-    def __init__(self, services, peers, cluster_state, counters, log):
+    def __init__(self, services, peers, cluster_state, demands, counters, log):
         self._services = services
         self._peers = peers
         self._cluster_state = cluster_state
+        self._demands = demands
         self._counters = counters
         self._log = log
         self._loop = asyncio.get_running_loop()
@@ -132,6 +136,7 @@
     def resubmit(self, slot_request):
         """Request another slot after an attempt has failed."""
         slot_request.waiting = True
+        slot_request.request.tried |= self._demands.resting_keys()
         slot_request.round += 1
         slot_request.unanswered_sends = 0
         decider = self._usable_decider(slot_request.service)
@@ -201,7 +206,13 @@
 
         def on_command(command):
             slot_request.waiting = False
-            slot_request.on_command(command)
+            if not isinstance(command, Dispatch):
+                slot_request.on_command(self._with_retry_after(command))
+            elif self._demands.may_send(command.entry):
+                slot_request.accepted += 1
+                slot_request.on_command(command)
+            else:
+                self._decline(slot_request, command)
 
         runner.submit(slot_request.request, on_command)
 
@@ -223,6 +234,7 @@
             round=slot_request.round,
             tried=[target_id for target_id, _ in request.tried],
             data_centre=request.data_centre,
+            extra=request.extra,
         )
         self._peers.send(wanted, slot_request.decider.address)
         slot_request.timer = self._loop.call_later(
@@ -265,28 +277,26 @@
             return
         slot_request = self._find_current(message, address)
         entry = self._cluster_state.target((message.target, message.born_ms))
-        if slot_request is None or entry is None:
+        if slot_request is None or entry is None or not self._demands.may_send(entry):
             # Says nothing about the target, which other VMs may know and reach.
             unused = AttemptEnded(message.attempt, Outcome.CANCELLED, 0.0)
             grant = _Grant(address, message.attempt)
             self._send_ended(grant, message.request, unused)
             if slot_request is not None:
-                self._log.event(
-                    "target-unknown",
-                    target=message.target,
-                    service=slot_request.service,
-                    decider=slot_request.decider.name,
-                )
+                self._log_unusable(slot_request, message, entry)
                 self._cancel_timer(slot_request)
                 slot_request.request.tried.add((message.target, message.born_ms))
-                self.resubmit(slot_request)
+                if slot_request.waiting:
+                    self.resubmit(slot_request)
             return
         self._cancel_timer(slot_request)
         slot_request.waiting = False
+        slot_request.accepted += 1
         attempt = next(self._attempts)
         slot_request.granted[attempt] = _Grant(address, message.attempt)
         request = slot_request.request
         request.attempts_left -= 1
+        request.extra = True
         request.tried.add(entry.key)
         waited_s = self._loop.time() - request.queued_s
         slot_request.on_command(
@@ -301,6 +311,44 @@
             )
         )
 
+    def _log_unusable(self, slot_request, message, entry):
+        fields = {
+            "target": message.target,
+            "service": slot_request.service,
+            "decider": slot_request.decider.name,
+        }
+        if entry is None:
+            self._log.event("target-unknown", **fields)
+        else:
+            self._log.event("target-not-usable", **fields)
+
+    def _decline(self, slot_request, dispatch):
+        """Return a Dispatch of this VM's scheduler, and request another slot.
+
+        The scheduler is not called before it has finished its present event.
+        """
+        unused = AttemptEnded(dispatch.attempt, Outcome.CANCELLED, 0.0)
+        request = slot_request.request
+        request.attempts_left += 1
+        request.extra = slot_request.accepted > 0
+        runner = self._services.runner(slot_request.service)
+        self._loop.call_soon(runner.finish_attempt, unused)
+        if not dispatch.hedge:
+            slot_request.waiting = True
+            self._loop.call_soon(self._resubmit_if_waiting, slot_request)
+
+    def _resubmit_if_waiting(self, slot_request):
+        if slot_request.waiting:
+            self.resubmit(slot_request)
+
+    def _with_retry_after(self, command):
+        """Return a command in which a Refusal says when a target has had its rest."""
+        if command.reason is not RefusalReason.NO_UNTRIED_TARGET:
+            return command
+        rest_s = self._demands.retry_after_s(command.request.tried)
+        retry_after_s = max(command.retry_after_s, rest_s)
+        return attrs.evolve(command, retry_after_s=retry_after_s)
+
     def _is_in_progress(self, message, address):
         """Whether a SlotGranted repeats the grant of an attempt in progress."""
         slot_request = self._slot_requests.get(message.request)
@@ -314,15 +362,14 @@
         self._cancel_timer(slot_request)
         slot_request.waiting = False
         reason = RefusalReason(message.reason)
-        slot_request.on_command(
-            Refusal(
-                slot_request.request,
-                reason,
-                message.retry_after_s,
-                message.waiting,
-                message.needed_s,
-            )
+        refusal = Refusal(
+            slot_request.request,
+            reason,
+            message.retry_after_s,
+            message.waiting,
+            message.needed_s,
         )
+        slot_request.on_command(self._with_retry_after(refusal))
 
     def _find_current(self, message, address):
         """Return the SlotRequest that a message is for, or None if it is outdated.
@@ -347,7 +394,7 @@
     def _send_ended(self, grant, number, end):
         """Send the end of an attempt to the VM of a _Grant, and repeat it later."""
         load = end.load
-        outcome = Outcome.CANCELLED if end.path_cut else end.outcome
+        outcome = Outcome.CANCELLED if end.blameless else end.outcome
         message = SlotEnded(
             request=number,
             attempt=grant.attempt,
--- a/sesamespring/gateway/slot_server.py
+++ b/sesamespring/gateway/slot_server.py
@@ -92,7 +92,7 @@
         remote.reply = SlotQueued(request=message.request, round=message.round)
         request = remote.request
         request.attempts_left = message.attempts_left
-        request.extra = message.round > 1
+        request.extra = message.round > 1 if message.extra is None else message.extra
         tried = set(message.tried)
         request.tried = {
             key for key in runner.scheduler.target_states if key[0] in tried
--- a/sesamespring/platform/headers.py
+++ b/sesamespring/platform/headers.py
@@ -29,6 +29,11 @@
 LOAD = b"sesamespring-server-load"
 # Requests per second that the target takes from all VMs together.
 LIMIT_PER_S = b"server-limit"
+# In each response of a target that takes no new work, as it is about to stop.
+LEAVING = b"server-leaving"
+# In a response that rejects a request: for how long the target wants none of this VM.
+REST_S = b"retry-after"
+REJECTING_STATUSES = frozenset({429, 503})
 MISDIRECTED = 421
 NORMAL_SLOWDOWN_PERCENT = 100
 TIMEOUT_MS_MAX = 3_600_000
@@ -54,6 +59,9 @@
         idle_s: How long the target keeps an idle connection open, in seconds, or None.
         limit_per_s: Requests per second that the target takes from all VMs together,
             NO_LIMIT if it names no limit, or None if its limit cannot be read.
+        leaving: Whether the target states that it is leaving.
+        rest_s: For how long the target wants no request of this VM, in seconds, or
+            None if it does not ask for rest.
     """
 
     request_id: bytes | None
@@ -66,6 +74,8 @@
     cold_left_s: float | None
     idle_s: float | None
     limit_per_s: float | None
+    leaving: bool = False
+    rest_s: float | None = None
 
 
 def read_request_id(headers):
@@ -130,6 +140,7 @@
     misdirected = status == MISDIRECTED
     target_id = fields.get(TARGET_ID)
     cold_left_ms = _digits(fields.get(COLD_LEFT_MS))
+    rejects = status in REJECTING_STATUSES
     return ResponseMetadata(
         request_id=fields.get(REQUEST_ID),
         signed=SIGNATURE in fields,
@@ -141,6 +152,8 @@
         cold_left_s=None if cold_left_ms is None else cold_left_ms / 1000,
         idle_s=_read_idle(fields.get(b"keep-alive")),
         limit_per_s=_read_limit(fields.get(LIMIT_PER_S)),
+        leaving=fields.get(LEAVING, b"").strip() == b"1",
+        rest_s=_read_rest(fields.get(REST_S)) if rejects else None,
     )
 
 
@@ -182,6 +195,17 @@
     return float(raw) if _DECIMAL.fullmatch(raw.strip()) else None
 
 
+def _read_rest(raw):
+    """Decode a rest in seconds; a date, which the header may also hold, is ignored.
+
+    >>> _read_rest(b"2.5"), _read_rest(b"Fri, 04 Dec 2026 10:00:00 GMT")
+    (2.5, None)
+    """
+    if raw is None or not _DECIMAL.fullmatch(raw.strip()):
+        return None
+    return float(raw)
+
+
 def _digits(raw):
     """Return a number of up to nine decimal digits, or None."""
     if raw is None or not raw.isdigit() or len(raw) > 9:
--- a/sesamespring/routing/messages.py
+++ b/sesamespring/routing/messages.py
@@ -68,7 +68,8 @@
         idempotent: Whether it may run more than once.
         attempts_left: How many more targets it may be sent to.
         queued_s: Time at which it was queued.
-        tried: Keys of the targets that it was sent to.
+        tried: Keys of the targets that it was sent to, or that want no request of the
+            VM that sends it.
         attempts: Dict of target key by number of the attempt in progress.
         extra: Whether its next attempt counts against the retry budget.
         data_centre: Data centre of the VM that sends it.
@@ -108,7 +109,8 @@
         cold_left_s: Remaining cold start that the target reported, in seconds, or None.
         limit_per_s: Requests per second that the target takes from all VMs according to
             its response, or None if it did not respond.
-        path_cut: Whether it ended as the VM lost its link to the target, which says
+        blameless: Whether the cause lies with the VM, which lost its link to the
+            target or keeps to what the target demands of it, so that the end says
             nothing about the target.
     """
 
@@ -118,7 +120,7 @@
     load: object = None
     cold_left_s: float | None = None
     limit_per_s: float | None = None
-    path_cut: bool = False
+    blameless: bool = False
 
 
 @attrs.frozen
--- a/sesamespring/routing/scheduler.py
+++ b/sesamespring/routing/scheduler.py
@@ -466,7 +466,7 @@
         outcome = ended.outcome
         if outcome in _RESPONSES:
             state.heard_s = now_s
-        if ended.path_cut:
+        if ended.blameless:
             return
         if outcome is Outcome.ANSWERED:
             unloaded_s = self._service_time_s(request)
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -25,12 +25,15 @@
         request_id: The request id that the caller chose.
         accepted: Whether the target ran it; it is rejected if no slot is free.
         client_ip: IP address of the VM that sent it.
+        rest_s: For how long the target asked this VM for rest in its response, in
+            seconds, or None.
     """
 
     at_s: float
     request_id: str
     accepted: bool
     client_ip: str | None = None
+    rest_s: float | None = None
 
 
 @attrs.define
@@ -188,7 +191,13 @@
             await self._send(writer, 200, *self._late_copies.pop(writer))
         accepted = self._running < self.slots and self.busy_s is None
         self.arrivals.append(
-            Arrival(time.monotonic(), request_id, accepted, _client_ip(writer))
+            Arrival(
+                time.monotonic(),
+                request_id,
+                accepted,
+                _client_ip(writer),
+                self.busy_s,
+            )
         )
         if not accepted:
             self.overrun += 1
