--- a/sesamespring/platform/headers.py
+++ b/sesamespring/platform/headers.py
@@ -38,7 +38,7 @@
 NORMAL_SLOWDOWN_PERCENT = 100
 TIMEOUT_MS_MAX = 3_600_000
 SLOWDOWN_MAX = 1000.0
-_DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{0,9})?")
+_DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{0,20})?")
 _REPLACED_HEADERS = frozenset({TIMEOUT_MS, EXPECTED_TARGET})
 
 
@@ -198,8 +198,8 @@
 def _read_rest(raw):
     """Decode a rest in seconds; a date, which the header may also hold, is ignored.
 
-    >>> _read_rest(b"2.5"), _read_rest(b"Fri, 04 Dec 2026 10:00:00 GMT")
-    (2.5, None)
+    >>> _read_rest(b"2.5000000000001"), _read_rest(b"Fri, 04 Dec 2026 10:00:00 GMT")
+    (2.5000000000001, None)
     """
     if raw is None or not _DECIMAL.fullmatch(raw.strip()):
         return None
