Let the soak cut VMs off from targets, and let targets ask for rest or leave by word only

Links now pass connections on from their client's address, so targets see which VM sends. Earlier seeds keep the faults of their time.

--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -11,11 +11,17 @@
 
 from soak.disturbances import STORE, DisturbanceLog
 from soak.link import Link
-from soak.vm import CALLERS_PORT, DIRECTORY_PORT, READY_PORT, SoakVm
+from soak.vm import (
+    CALLERS_PORT,
+    DIRECTORY_PORT,
+    READY_PORT,
+    TARGET_PORT_MIN,
+    SoakVm,
+)
 from standins.platform_target import PlatformTarget
 from standins.store import FakeStore
 
-__all__ = ["HOST", "Cluster", "Evacuation", "FatalRun", "SoakTarget"]
+__all__ = ["HOST", "Cluster", "Evacuation", "FatalRun", "LostLinks", "SoakTarget"]
 
 HOST = "soak.example"
 DATA_CENTRES = ("dc-a", "dc-b", "dc-c")
@@ -34,7 +40,7 @@
 START_TIMEOUT_S = 20.0
 POLL_S = 0.05
 STORE_PORT = 25000
-TARGETS_PORT = 26000
+TARGETS_PORT = TARGET_PORT_MIN
 _network_numbers = itertools.count()
 
 
@@ -65,6 +71,8 @@
             infinite while that write is under way, or None.
         cold_until_s: Time at which its cold start ends.
         alive: Whether it is running.
+        states_leaving_since_s: Time from which its responses say that it is leaving,
+            or None.
     """
 
     service: str
@@ -75,6 +83,7 @@
     draining_since_s: float | None = None
     cold_until_s: float = 0.0
     alive: bool = True
+    states_leaving_since_s: float | None = None
 
     @property
     def name(self):
@@ -82,6 +91,26 @@
         return self.server.id
 
 
+@attrs.define(eq=False)
+class LostLinks:
+    """A period in which VMs were cut off from all targets.
+
+    Attributes:
+        vms: Set of the names of the VMs.
+        since_s: Time at which the cut began.
+        until_s: Time at which it ended.
+    """
+
+    vms: set
+    since_s: float
+    until_s: float = float("inf")
+
+    @property
+    def over(self):
+        """Whether it has ended."""
+        return self.until_s < float("inf")
+
+
 @attrs.frozen
 class FatalRun:
     """A run of a request that ended its target.
@@ -129,6 +158,7 @@
         targets: List of all SoakTargets, including those that were stopped.
         configurations: List of pairs of version and time of its acknowledgement.
         evacuations: List of all Evacuations, including those that are over.
+        lost_links: List of all LostLinks, including those that are over.
         fatal_paths: List of the paths that end each target that runs them.
         sent_fatal_paths: List of those of them that callers send at present.
         fatal_runs: List of the FatalRuns.
@@ -146,6 +176,7 @@
         self.targets = []
         self.configurations = []
         self.evacuations = []
+        self.lost_links = []
         self.fatal_paths = []
         self.sent_fatal_paths = []
         self.fatal_runs = []
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -4,10 +4,13 @@
 import contextlib
 import math
 import signal
+import time
 
-from soak.cluster import COLD_START_S, DATA_CENTRES, POLL_S, SERVICES
+from soak.cluster import COLD_START_S, DATA_CENTRES, POLL_S, SERVICES, LostLinks
 from soak.link import Direction
 from soak.load import FATAL_PREFIX
+from soak.promises import LINKS_LOST
+from soak.vm import SILENT_LINKS
 
 __all__ = ["FAULTS", "Faults"]
 
@@ -37,13 +40,18 @@
 EVACUATION_MIN_S = 6.0
 # Longer than VMs have to know of such a request.
 FATAL_MIN_S = 5.0
+# Longer than VMs have to find another way to the targets.
+LOST_LINKS_MIN_S = 5.0
+REST_S = (1.0, 3.0)
+REJECTING_S_MAX = 1.0
 
 
 class Faults:
     """The faults that a schedule can inject.
 
     Each public method takes the length of the fault in seconds and returns after the
-    fault has ended.
+    fault has ended. New ones come last, so that a test can run an earlier seed with the
+    faults of its time.
 
     Args:
         cluster: The Cluster.
@@ -164,14 +172,7 @@
         with self._cluster.record_disturbance(target.name, "leaving"):
             await self._cluster.register_draining(target)
             await asyncio.sleep(DRAINING_RUN_S + for_s)
-            if not target.alive:
-                # A request has ended it meanwhile, and it is being replaced.
-                return
-            self._cluster.kill_target(target)
-            await self._cluster.remove_registration(target)
-            await self._cluster.start_target(
-                target.service, target.address_index, COLD_START_S
-            )
+            await self._replace_left(target)
 
     async def slow_target(self, for_s):
         """Increase a target's service time."""
@@ -234,12 +235,61 @@
         await asyncio.sleep(for_s)
         await store.delete("servers", "forged-1")
 
+    async def lose_links(self, for_s):
+        """Cut some VMs off from all targets: links hang, are reset, or live on."""
+        cluster = self._cluster
+        count = self._random.randint(1, len(cluster.vms) - 1)
+        vms = self._random.sample(cluster.vms, count)
+        how = self._random.choice((SILENT_LINKS, "reset", "refused"))
+        lost = LostLinks({vm.name for vm in vms}, time.monotonic())
+        cluster.lost_links.append(lost)
+        with self._record_disturbances(vms, LINKS_LOST):
+            for vm in vms:
+                vm.cut_links(how)
+                for target in cluster.targets:
+                    if how == SILENT_LINKS:
+                        target.link.silence_client(vm.ip)
+                    elif how == "reset":
+                        target.link.reset_client(vm.ip)
+            await asyncio.sleep(LOST_LINKS_MIN_S + for_s)
+            lost.until_s = time.monotonic()
+            for vm in vms:
+                if not any(vm.name in o.vms for o in cluster.lost_links if not o.over):
+                    vm.restore_links()
+
+    async def ask_for_rest(self, for_s):
+        """Let a target reject all requests for a moment, and ask for rest."""
+        target = await self._choose_running_target()
+        with self._cluster.record_disturbance(target.name, "busy"):
+            target.server.busy_s = self._random.uniform(*REST_S)
+            await asyncio.sleep(min(for_s, REJECTING_S_MAX))
+            target.server.busy_s = None
+
+    async def state_leaving(self, for_s):
+        """Let a target say in its responses only that it is leaving; replace it."""
+        target = await self._choose_running_target()
+        with self._cluster.record_disturbance(target.name, "leaving"):
+            target.states_leaving_since_s = time.monotonic()
+            target.server.leaving = True
+            await asyncio.sleep(DRAINING_RUN_S + for_s)
+            await self._replace_left(target)
+
+    async def _replace_left(self, target):
+        if not target.alive:
+            # A request has ended it meanwhile, and it is being replaced.
+            return
+        self._cluster.kill_target(target)
+        await self._cluster.remove_registration(target)
+        await self._cluster.start_target(
+            target.service, target.address_index, COLD_START_S
+        )
+
     async def _choose_running_target(self):
         while True:
             running = [
                 t
                 for t in self._cluster.targets
-                if t.alive and t.draining_since_s is None
+                if t.alive and t.draining_since_s is None and not t.server.leaving
             ]
             if running:
                 return self._random.choice(running)
--- a/soak/link.py
+++ b/soak/link.py
@@ -61,6 +61,18 @@
         for connection in self._connections:
             connection.silent.set()
 
+    def reset_client(self, ip):
+        """Reset all connections of a client."""
+        for connection in tuple(self._connections):
+            if connection.client_ip == ip:
+                connection.abort()
+
+    def silence_client(self, ip):
+        """Stop forwarding on the open connections of a client for good."""
+        for connection in self._connections:
+            if connection.client_ip == ip:
+                connection.silent.set()
+
     def cut(self, *directions):
         """Hold back all bytes in some directions until ``restore``."""
         for direction in directions:
@@ -79,12 +91,18 @@
         await self._open[direction].wait()
 
     async def _serve_connection(self, reader, writer):
+        peer = writer.get_extra_info("peername")
+        if peer is None:
+            return
         try:
-            upstream = await asyncio.open_connection(*self._target)
+            # From the client's address, so that the server sees whose request it is.
+            upstream = await asyncio.open_connection(
+                *self._target, local_addr=(peer[0], 0)
+            )
         except OSError:
             _abort(writer)
             return
-        connection = _Connection(self, (reader, writer), upstream)
+        connection = _Connection(self, peer[0], (reader, writer), upstream)
         self._connections.add(connection)
         # Only the end of the whole run cancels this task, so that need not be reported.
         with contextlib.suppress(asyncio.CancelledError):
@@ -93,8 +111,9 @@
 
 
 class _Connection:
-    def __init__(self, link, client, server):
+    def __init__(self, link, client_ip, client, server):
         self.silent = asyncio.Event()
+        self.client_ip = client_ip
         self._link = link
         self._client_reader, self._client_writer = client
         self._server_reader, self._server_writer = server
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -12,7 +12,7 @@
 from soak.disturbances import STORE
 from soak.load import CONNECTION_CLOSED, TIMEOUT_S
 
-__all__ = ["Breach", "check_promises", "check_recovery"]
+__all__ = ["LINKS_LOST", "Breach", "check_promises", "check_recovery"]
 
 # Response statuses that guarantee that a request has not run.
 NOT_RUN = frozenset({408, 421, 429, 503})
@@ -36,10 +36,22 @@
 FATAL_TARGETS = 3
 FATAL_SPREAD_S = 3.0
 FATAL_ARRIVALS_MAX = 3
+# VMs have this time to find another way to targets that they do not reach. From then
+# on their callers have to be served this share as often as those of the others, apart
+# from a few failures.
+LINKS_SETTLE_S = 3.0
+LINKS_SERVED_RATIO = 2 / 3
+LINKS_FAILED_SLACK = 10
+LINKS_FAILED_RATIO = 1 / 50
+# What a target may get from a VM that it has asked for rest, after the start of it.
+REST_START_S = 0.5
+REST_REQUESTS_MAX = 2
 # Minimum share of successful requests after all faults have ended.
 RECOVERED_SHARE = 0.95
 # The kind of disturbance that is a graceful stop by SIGTERM.
 GRACEFUL_STOP = "terminated"
+# The kind of disturbance that is a VM cut off from all targets.
+LINKS_LOST = "links lost"
 
 
 @attrs.frozen
@@ -74,6 +86,9 @@
     breaches += _check_retry_budget(cluster, load.calls)
     breaches += _check_configuration(cluster, load.calls)
     breaches += _check_fatal_requests(cluster, load.calls)
+    breaches += _check_lost_links(cluster, load.calls)
+    breaches += _check_rests(cluster)
+    breaches += _check_stated_leaving(cluster)
     return breaches
 
 
@@ -311,6 +326,78 @@
     return breaches
 
 
+def _check_lost_links(cluster, calls):
+    """Return Breaches for VMs without links whose callers are served worse."""
+    breaches = []
+    for lost in cluster.lost_links:
+        first_s = lost.since_s + LINKS_SETTLE_S
+        during = [
+            call
+            for call in calls
+            if first_s <= call.sent_s
+            and call.ended_s is not None
+            and call.ended_s <= lost.until_s
+            and not call.fatal
+            and cluster.disturbances.is_undisturbed(
+                call.vm, lost.since_s, call.ended_s, without=(LINKS_LOST,)
+            )
+        ]
+        cut = [call.status == 200 for call in during if call.vm in lost.vms]
+        others = [call.status == 200 for call in during if call.vm not in lost.vms]
+        if not cut or not others:
+            continue
+        allowed = LINKS_FAILED_SLACK + LINKS_FAILED_RATIO * len(during)
+        share, others_share = sum(cut) / len(cut), sum(others) / len(others)
+        if share < LINKS_SERVED_RATIO * others_share and len(cut) - sum(cut) > allowed:
+            detail = f"{sum(cut)} of {len(cut)}, others {sum(others)} of {len(others)}"
+            breaches.append(Breach("lost-links", f"{sorted(lost.vms)}: {detail}"))
+    return breaches
+
+
+def _check_rests(cluster):
+    """Return Breaches for VMs that send to a target that wants rest of them."""
+    names = {vm.ip: vm.name for vm in cluster.vms}
+    breaches = []
+    for target in cluster.targets:
+        arrivals = target.server.arrivals
+        for asked in (arrival for arrival in arrivals if arrival.rest_s is not None):
+            first_s = asked.at_s + REST_START_S
+            during = [
+                arrival
+                for arrival in arrivals
+                if arrival.client_ip == asked.client_ip
+                and first_s < arrival.at_s < asked.at_s + asked.rest_s
+            ]
+            if len(during) > REST_REQUESTS_MAX and cluster.disturbances.is_undisturbed(
+                names[asked.client_ip], asked.at_s, during[-1].at_s
+            ):
+                breaches.append(Breach("rest", f"{target.name}: {asked}, {during}"))
+    return breaches
+
+
+def _check_stated_leaving(cluster):
+    """Return Breaches for VMs that send to a target that told them it was leaving."""
+    names = {vm.ip: vm.name for vm in cluster.vms}
+    breaches = []
+    for target in cluster.targets:
+        since_s = target.states_leaving_since_s
+        if since_s is None:
+            continue
+        told_s = {}
+        for arrival in target.server.arrivals:
+            if arrival.at_s < since_s:
+                continue
+            first_s = told_s.setdefault(arrival.client_ip, arrival.at_s)
+            if arrival.at_s > first_s + DRAINING_BOUND_S and all(
+                cluster.disturbances.is_undisturbed(
+                    component, first_s, arrival.at_s, without=("leaving",)
+                )
+                for component in (target.name, names[arrival.client_ip])
+            ):
+                breaches.append(Breach("stated-leaving", f"{arrival} at {target.name}"))
+    return breaches
+
+
 def _store_and_vm_undisturbed(cluster, vm, from_s, to_s):
     """Return whether neither the store nor a VM was disturbed in a span of time."""
     disturbances = cluster.disturbances
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -7,7 +7,7 @@
 import attrs
 
 from soak.cluster import Cluster
-from soak.faults import Faults
+from soak.faults import FAULTS, Faults
 from soak.load import LoadGenerator
 from soak.promises import Breach, check_promises, check_recovery
 from soak.schedule import make_schedule
@@ -42,7 +42,7 @@
     history: tuple
 
 
-async def run_soak(seed, seconds, folder, vms=4, callers=8):
+async def run_soak(seed, seconds, folder, vms=4, callers=8, faults=FAULTS):
     """Run one soak test and return its SoakResult.
 
     Args:
@@ -51,13 +51,15 @@
         folder: Path of an empty folder for settings and logs.
         vms: Number of entry VMs.
         callers: Number of concurrent callers.
+        faults: Names of the faults to choose from.
     """
     async with Cluster(vms, folder) as cluster:
         load = LoadGenerator(cluster, seed)
         loop = asyncio.get_running_loop()
         load_tasks = [loop.create_task(load.run_caller()) for _ in range(callers)]
         load_tasks.append(loop.create_task(load.run_probes()))
-        breaches = await _run_schedule(cluster, load, seed, seconds)
+        schedule = make_schedule(seed, seconds, faults)
+        breaches = await _run_schedule(cluster, load, seed, seconds, schedule)
         settled_s = time.monotonic() + SETTLE_S
         await asyncio.sleep(SETTLE_S + RECOVERY_WINDOW_S)
         for task in load_tasks:
@@ -78,7 +80,7 @@
         )
 
 
-async def _run_schedule(cluster, load, seed, seconds):
+async def _run_schedule(cluster, load, seed, seconds, schedule):
     """Inject the scheduled faults; return the Breaches found in the meantime."""
     faults = Faults(cluster, random.Random(seed))
     started_s = time.monotonic()
@@ -88,7 +90,7 @@
             asyncio.timeout(seconds + FAULTS_END_TIMEOUT_S),
             asyncio.TaskGroup() as group,
         ):
-            for planned in make_schedule(seed, seconds):
+            for planned in schedule:
                 while (remaining_s := started_s + planned.at_s - time.monotonic()) > 0:
                     await asyncio.sleep(min(remaining_s, CHECK_INTERVAL_S))
                     breaches += check_promises(cluster, load)
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -28,7 +28,7 @@
     for_s: float
 
 
-def make_schedule(seed, seconds):
+def make_schedule(seed, seconds, faults=FAULTS):
     """Return the list of a seed's PlannedFaults in order of start; they may overlap.
 
     The times between starts are exponentially distributed.
@@ -36,13 +36,14 @@
     Args:
         seed: The seed.
         seconds: Period in which faults start, in seconds.
+        faults: Names of the faults to choose from.
 
     >>> make_schedule(1, 20.0) == make_schedule(1, 20.0)
     True
     """
     rng = random.Random(seed)
     # With only a few kinds of fault in a run, the same ones recur and coincide.
-    kinds = rng.sample(FAULTS, rng.randint(3, 7))
+    kinds = rng.sample(faults, min(len(faults), rng.randint(3, 7)))
     planned = []
     at_s = FIRST_FAULT_S
     while at_s < seconds:
--- a/soak/vm.py
+++ b/soak/vm.py
@@ -7,13 +7,17 @@
 import sys
 from pathlib import Path
 
-__all__ = ["INTERPRETER_STARTED", "SoakVm"]
+__all__ = ["INTERPRETER_STARTED", "SILENT_LINKS", "TARGET_PORT_MIN", "SoakVm"]
 
 ROOT = Path(__file__).resolve().parent.parent
 CALLERS_PORT = 24000
 READY_PORT = 24001
 DIRECTORY_PORT = 24002
 INTERNAL_PORT = 24003
+# Ports from this one on are those of targets.
+TARGET_PORT_MIN = 26000
+# How links are cut whose connections hang.
+SILENT_LINKS = "silent"
 EXIT_POLL_S = 0.05
 # First line in the log of each process, before any code of the daemon has run.
 INTERPRETER_STARTED = "interpreter started"
@@ -78,6 +82,7 @@
         self.lifetime = 0
         self._log = folder / f"{name}.log"
         self._settings = folder / f"{name}.toml"
+        self._cut = folder / f"{name}.cut"
         self._process = None
         self._settings.write_text(
             _SETTINGS.format(
@@ -116,6 +121,14 @@
         """Path of its log file, which all its processes append to."""
         return self._log
 
+    def cut_links(self, how):
+        """Let new connections to targets hang if ``how`` is SILENT_LINKS, or fail."""
+        self._cut.write_text(how)
+
+    def restore_links(self):
+        """End ``cut_links``."""
+        self._cut.unlink(missing_ok=True)
+
     def start(self, clock_offset_ms=0):
         """Start the process with a wall clock that is off by ``clock_offset_ms``."""
         self.lifetime += 1
@@ -124,7 +137,8 @@
             "SESAMESPRING_SETTINGS": str(self._settings),
             "PYTHONDONTWRITEBYTECODE": "1",
         }
-        command = [sys.executable, "-m", "soak.shifted", str(clock_offset_ms)]
+        arguments = [str(clock_offset_ms), self.ip, str(self._cut)]
+        command = [sys.executable, "-m", "soak.shifted", *arguments]
         with self._log.open("ab") as log:
             self._process = subprocess.Popen(
                 command, cwd=ROOT, env=environment, stdout=log, stderr=log
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from soak.cluster import Evacuation, FatalRun
+from soak.cluster import Evacuation, FatalRun, LostLinks
 from soak.disturbances import STORE, DisturbanceLog
 from soak.load import Call
 from soak.promises import check_promises, check_recovery
@@ -20,6 +20,7 @@
         "server": server,
         "draining_since_s": None,
         "cold_until_s": 0.0,
+        "states_leaving_since_s": None,
     }
     return types.SimpleNamespace(**{**defaults, **fields})
 
@@ -27,7 +28,11 @@
 def cluster(*targets, **fields):
     defaults = {
         "targets": list(targets),
-        "vms": [types.SimpleNamespace(name="vm-0")],
+        "vms": [
+            types.SimpleNamespace(name=f"vm-{number}", ip=f"ip-{number}")
+            for number in range(2)
+        ],
+        "lost_links": [],
         "disturbances": DisturbanceLog(),
         "configurations": [(1, 0.0)],
         "evacuations": [],
@@ -162,3 +167,46 @@
     calls = [call(f"r{n}", status=200 if n else 503) for n in range(10)]
     assert check_recovery(types.SimpleNamespace(calls=calls), 9.0, 11.0)
     assert not check_recovery(types.SimpleNamespace(calls=calls[1:]), 9.0, 11.0)
+
+
+def test_detects_callers_of_a_cut_off_vm_that_are_not_served():
+    lost = LostLinks({"vm-0"}, 5.0, 20.0)
+    calls = [
+        call(
+            f"r{number}", vm=f"vm-{number % 2}", status=503 if number % 2 == 0 else 404
+        )
+        for number in range(40)
+    ]
+    for served in calls[1::2]:
+        served.status = 200
+    faulty_cluster = cluster(target(), lost_links=[lost])
+    assert "lost-links" in broken_promises(faulty_cluster, *calls)
+    faulty_cluster.disturbances.begin("vm-0", "links lost").start_s = 5.0
+    assert "lost-links" in broken_promises(faulty_cluster, *calls)
+    faulty_cluster.disturbances.begin("vm-0", "killed").start_s = 9.0
+    assert "lost-links" not in broken_promises(faulty_cluster, *calls)
+
+
+def test_detects_requests_at_a_target_that_wants_rest():
+    fake_target = target()
+    fake_target.server.arrivals.append(Arrival(10.0, "r0", False, "ip-0", 2.0))
+    for number in range(3):
+        arrival = Arrival(11.0 + number / 10, f"r{number}", True, "ip-0")
+        fake_target.server.arrivals.append(arrival)
+    calls = [call(f"r{number}") for number in range(3)]
+    faulty_cluster = cluster(fake_target)
+    assert "rest" in broken_promises(faulty_cluster, *calls)
+    faulty_cluster.disturbances.begin("vm-0", "killed").start_s = 10.5
+    assert "rest" not in broken_promises(faulty_cluster, *calls)
+
+
+def test_detects_requests_at_a_target_that_says_it_is_leaving():
+    fake_target = target(states_leaving_since_s=5.0)
+    for number, at_s in enumerate((5.5, 7.6)):
+        arrival = Arrival(at_s, f"r{number}", True, "ip-0")
+        fake_target.server.arrivals.append(arrival)
+    calls = [call("r0"), call("r1")]
+    faulty_cluster = cluster(fake_target)
+    assert "stated-leaving" in broken_promises(faulty_cluster, *calls)
+    faulty_cluster.disturbances.begin("vm-0", "paused").start_s = 6.0
+    assert "stated-leaving" not in broken_promises(faulty_cluster, *calls)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -4,21 +4,26 @@
 
 import pytest
 
+from soak.faults import FAULTS
 from soak.runner import run_soak
 
-# Pairs of a seed and the period in which its faults start, in seconds. Each seed that
-# once broke a promise stays in the list, with a comment on the cause.
+# A seed chooses from the faults of its time; later ones were added at the end.
+FAULTS_AT_9102 = FAULTS[: FAULTS.index("lose_links")]
+# Tuples of a seed, the period in which its faults start, in seconds, and the faults to
+# choose from. Each seed that once broke a promise stays in the list, with a comment on
+# the cause.
 SEEDS = [
-    (1, 5.0),
+    (1, 5.0, FAULTS),
     # SIGHUP arrived before a new process had set its handler, and ended the process.
-    (1012, 3.0),
+    (1012, 3.0, FAULTS_AT_9102),
     # A path that many callers read was kept back for crashes by a fatal request.
-    (9102, 12.0),
+    (9102, 12.0, FAULTS_AT_9102),
+    (26, 10.0, ("lose_links", "ask_for_rest", "state_leaving")),
 ]
 
 
-@pytest.mark.parametrize(("seed", "seconds"), SEEDS)
-def test_promises_hold(seed, seconds, tmp_path):
-    result = asyncio.run(run_soak(seed, seconds, tmp_path))
+@pytest.mark.parametrize(("seed", "seconds", "faults"), SEEDS)
+def test_promises_hold(seed, seconds, faults, tmp_path):
+    result = asyncio.run(run_soak(seed, seconds, tmp_path, faults=faults))
     assert result.breaches == ()
     assert result.served > 0
