Do not try several quarantined contents at the same moment

Cause: a fatal request ended all targets of a service at once, so the harmless content beside it was quarantined at the same moment, and both had their first trial at the same moment 2 s later. The harmless one ran beside the fatal one once more, and its next trial is 20 s later.

Change: a trial is not reserved within 1 s of another content's. The test without sockets fails before.

--- a/sesamespring/routing/quarantine.py
+++ b/sesamespring/routing/quarantine.py
@@ -21,6 +21,9 @@
 # A request that was chosen for a trial is sent within this time, in which its outcome
 # is expected too; then another one may be chosen.
 RESERVATION_S = 3.0
+# Contents that are quarantined at the same moment would be tried at the same moment as
+# well, and one that is harmless would run beside the one that is not.
+TRIAL_SPACING_S = 1.0
 MEMORY_S = 3600.0
 # How long other VMs, which may hold an older record, are told of a cleared one.
 CLEARED_MEMORY_S = 30.0
@@ -140,7 +143,7 @@
             The CrashRecord with the reservation, or None.
         """
         known = self._records[content]
-        if now_s < known.next_trial_s:
+        if now_s < known.next_trial_s or self._has_just_reserved(now_s):
             return None
         count = known.reservations + 1
         return self._put(attrs.evolve(known, reservations=count, reserved_s=now_s))
@@ -208,6 +211,13 @@
             if now_s < record.changed_s + _memory_s(record)
         }
 
+    def _has_just_reserved(self, now_s):
+        """Return whether a trial of any content has just been reserved."""
+        return any(
+            now_s - record.reserved_s < TRIAL_SPACING_S
+            for record in self._records.values()
+        )
+
     def _explained_crashes(self):
         """Return the keys of the targets that contents without a clearance crashed.
 
--- a/tests/routing/test_quarantine.py
+++ b/tests/routing/test_quarantine.py
@@ -9,9 +9,11 @@
 from sesamespring.routing.quarantine import (
     CRASHES_KEPT_MAX,
     CRASHES_MAX,
+    FIRST_TRIAL_DELAY_S,
     MEMORY_S,
     RECORDS_MAX,
     RESERVATION_S,
+    TRIAL_SPACING_S,
     TRIALS_MAX,
     Admission,
     CrashRecord,
@@ -196,3 +198,14 @@
     merged = functools.reduce(CrashRecord.merge, messages, record)
     if merged.clearances == record.clearances:
         assert len(merged.crashed) >= len(record.crashed)
+
+
+def test_contents_quarantined_at_once_are_tried_one_after_the_other():
+    quarantine = Quarantine()
+    for content in ("harmless", "fatal"):
+        for number in range(CRASHES_MAX):
+            quarantine.record_crash(content, ("t", number), 0.0)
+    due_s = FIRST_TRIAL_DELAY_S
+    assert quarantine.reserve_trial("fatal", due_s) is not None
+    assert quarantine.reserve_trial("harmless", due_s) is None
+    assert quarantine.reserve_trial("harmless", due_s + TRIAL_SPACING_S) is not None
