--- a/sesamespring/gateway/attempt.py
+++ b/sesamespring/gateway/attempt.py
@@ -242,7 +242,8 @@
         """
         if not self._may_relay:
             return None
-        members = self._paths.relays(self._entry, self._outgoing.request_id)
+        subject = f"{self._outgoing.request_id}/{self._dispatch.attempt}"
+        members = self._paths.relays(self._entry, subject)
         for member in members:
             relay = RelayEndpoint((member.name, member.incarnation), member.address)
             result = await self._send_through(relay)
--- a/sesamespring/gateway/relay_server.py
+++ b/sesamespring/gateway/relay_server.py
@@ -106,7 +106,7 @@
         """Return the TargetEntry if requests may be sent to it, else None."""
         state = self._context.cluster_state
         entry = state.target(key)
-        if entry is None or entry.leaving:
+        if entry is None or entry.leaving or state.configuration is None:
             return None
         return None if entry.data_centre in state.closed_data_centres else entry
 
--- a/sesamespring/gateway/target_paths.py
+++ b/sesamespring/gateway/target_paths.py
@@ -156,12 +156,12 @@
         self._judge()
         return channel
 
-    def relays(self, entry, request_id):
+    def relays(self, entry, subject):
         """Return up to ``RELAYS_MAX`` Members that may reach a target in its place.
 
         Args:
             entry: The TargetEntry.
-            request_id: Id of the request in bytes, by which the VMs are shuffled.
+            subject: Text by which the VMs are shuffled, of the request and attempt.
         """
         members = {
             member.name: member
@@ -171,7 +171,7 @@
             and member.reaches(entry.service)
         }
         cores = {name: member.cores for name, member in members.items()}
-        names = rank(request_id.decode("latin-1"), cores)
+        names = rank(subject, cores)
         return [members[name] for name in names[:RELAYS_MAX]]
 
     def silence_s(self, expected_s):
@@ -344,7 +344,7 @@
 
         Without another VM that says what it meets, this VM's own refusal decides.
         """
-        asked = [self._ask(m, entry) for m in self.relays(entry, entry.id.encode())]
+        asked = [self._ask(m, entry) for m in self.relays(entry, entry.id)]
         statuses = await asyncio.gather(*asked)
         return OK not in statuses
 
