Accept longer heads between VMs than from callers

By reading: an attempt for another VM has the caller's head and further headers, and the internal port took heads of 16 KiB, as many as a caller may send.

--- a/sesamespring/gateway/daemon.py
+++ b/sesamespring/gateway/daemon.py
@@ -49,6 +49,8 @@
 # Part of the stop timeout that is kept for responses still in progress.
 LAST_RESPONSES_S = 1.0
 DESCRIPTORS_RESERVED = 200
+# Above what callers may send, as attempts for other VMs come with further headers.
+INTERNAL_LIMITS = ServerLimits(128 * 1024, 3.0, 15.0)
 OPERATOR_POLL_TIMING = PollTiming(wait_s=2.0, interval_s=0.02)
 # Targets write heartbeats many times a second, so a poll returns almost at once and
 # the interval limits the rate of polls.
@@ -246,7 +248,9 @@
         for handle, address in listeners:
             if address is None:
                 continue
-            connections = CallerConnections(handle, connections_max)
+            connections = CallerConnections(
+                handle, connections_max, lambda: INTERNAL_LIMITS
+            )
             stack.callback(connections.close)
             await connections.listen(address)
         stack.callback(self._callers.close)
