--- a/sesamespring/gateway/slot_client.py
+++ b/sesamespring/gateway/slot_client.py
@@ -136,7 +136,8 @@
     def resubmit(self, slot_request):
         """Request another slot after an attempt has failed."""
         slot_request.waiting = True
-        slot_request.request.tried |= self._demands.resting_keys()
+        resting = self._demands.resting_keys(slot_request.service)
+        slot_request.request.tried |= resting
         slot_request.round += 1
         slot_request.unanswered_sends = 0
         decider = self._usable_decider(slot_request.service)
--- a/sesamespring/gateway/target_demands.py
+++ b/sesamespring/gateway/target_demands.py
@@ -52,9 +52,11 @@
         """Return whether a target wants nothing from this VM now."""
         return self._rests.is_resting(key, self._loop.time())
 
-    def resting_keys(self):
-        """Return the set of the keys of all targets that want nothing from this VM."""
-        return self._rests.keys(self._loop.time())
+    def resting_keys(self, service):
+        """Return the set of the keys of a service's targets that want rest now."""
+        resting = self._rests.keys(self._loop.time())
+        known = [self._cluster_state.target(key) for key in resting]
+        return {e.key for e in known if e is not None and e.service == service}
 
     def retry_after_s(self, keys):
         """Return the seconds until the first of some targets has had its rest, or 0."""
--- a/tests/gateway/test_slot_client.py
+++ b/tests/gateway/test_slot_client.py
@@ -80,7 +80,7 @@
     def may_send(self, entry):
         return entry.key not in self.resting
 
-    def resting_keys(self):
+    def resting_keys(self, service):
         return self.resting
 
     def retry_after_s(self, keys):
