Do not send a streamed body again after a part of it was passed on

What callers may see: a long upload through a cut-off VM arrives with a hole and is answered with 200, if the first VM that is asked does not reach the target either. Found by reading, shown by the new test, which fails before.

Cause: what is left of a streamed body can be read once; each further VM got its start and what the former had not taken.

Change: such a request is neither passed to a second VM nor repeated. A connection that is not used, as its target wants rest meanwhile, is closed instead of kept with a new age.

--- a/sesamespring/gateway/attempt.py
+++ b/sesamespring/gateway/attempt.py
@@ -151,6 +151,11 @@
         self._channel = None
         self._metadata = None
 
+    @property
+    def _may_repeat(self):
+        """Whether the request may be sent again after a part of it was."""
+        return self._outgoing.idempotent and self._outgoing.body is not None
+
     async def run(self):
         """Make the attempt and return its AttemptResult.
 
@@ -206,7 +211,7 @@
             except (ChannelClosed, h11.ProtocolError):
                 # The target may have closed the idle connection while the request was
                 # being sent, so an idempotent one is sent again on a new connection.
-                if not idempotent or self._metadata is not None:
+                if not self._may_repeat or self._metadata is not None:
                     raise
                 self._connections.drop(self._entry.key)
                 self._abort_channel()
@@ -237,6 +242,8 @@
     async def _send_through_relays(self):
         """Let other VMs send the request, one after the other until one reaches it.
 
+        A body that is streamed can be passed on once only.
+
         Returns:
             The AttemptResult, or None if none of them could send it.
         """
@@ -254,7 +261,7 @@
         return None
 
     async def _send_through(self, relay):
-        """Let one VM send the request; return None if it could not."""
+        """Let one VM send the request; return None if another one may try."""
         pool = self._paths.relay_connections
         try:
             channel = pool.take_idle(relay.key, self._outgoing.idempotent)
@@ -268,7 +275,7 @@
         if result.end.outcome is Outcome.NOT_SENT:
             self._relay = None
             self._sent = was_sent
-            return None
+            return None if self._outgoing.body is not None else result
         return result
 
     async def _exchange(self, channel):
@@ -277,15 +284,12 @@
         if self._relay is not None:
             return await self._exchange_unwatched(channel)
         if not self._demands.may_send(self._entry):
-            self._channel = None
-            self._connections.keep_unused(self._entry, channel)
             raise _NotWanted
         silence_s = self._paths.silence_s(self._dispatch.expected_s)
         timer = asyncio.get_running_loop().call_later(
             silence_s, self._paths.suspect, self._entry, self._clock()
         )
-        # Sent again on another path, a request must be idempotent.
-        on_lost = channel.abort if self._outgoing.idempotent else lambda: None
+        on_lost = channel.abort if self._may_repeat else lambda: None
         self._paths.watch(self._entry, on_lost)
         try:
             return await self._exchange_unwatched(channel)
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -1,10 +1,12 @@
 """Test attempts that another VM makes for one that does not reach the target."""
 
 import asyncio
+from unittest import mock
 
 import pytest
 
 from sesamespring.gateway.relay_messages import relay_request_headers
+from sesamespring.gateway.target_paths import TargetPaths
 from tests.gateway.cluster import INTERNAL_PORT
 from tests.gateway.test_faults import wait_until
 from tests.gateway.test_forwarding import run_scenario
@@ -157,3 +159,44 @@
         assert response.status == 200
 
     run_scenario(scenario, **OPTIONS)
+
+
+def test_long_body_is_not_sent_again_after_a_part_of_it_was_passed_on():
+    async def scenario(cluster):
+        ip = await cut_and_settle(cluster)
+        # The second VM, which is asked first, does not reach them either.
+        cluster.cut_from_targets(cluster.ips[1], "refused")
+
+        def relays(paths, entry, subject):
+            members = paths._peers.alive
+            return [members[name] for name in ("vm-1", "vm-2") if name in members]
+
+        body = b"".join(b"%07d;" % number for number in range(MEGABYTE // 8))
+        chunks = b"".join(
+            b"%x\r\n%s\r\n" % (len(part), part)
+            for part in (body[i : i + 65536] for i in range(0, len(body), 65536))
+        )
+        with mock.patch.object(TargetPaths, "relays", relays):
+            for number in range(4):
+                await cluster.call(
+                    ip,
+                    f"r{number}",
+                    path="/write/1",
+                    method="POST",
+                    headers={"Transfer-Encoding": "chunked"},
+                    body=chunks + b"0\r\n\r\n",
+                )
+        received = [r.body for t in cluster.targets for r in t.received if r.body]
+        assert all(got == body for got in received)
+
+    run_scenario(scenario, **OPTIONS)
+
+
+def test_request_with_the_longest_head_that_callers_may_send_is_served():
+    async def scenario(cluster):
+        ip = await cut_and_settle(cluster)
+        headers = {"X-Long": "x" * 16_000}
+        response = await cluster.call(ip, "r1", headers=headers)
+        assert response.status == 200
+
+    run_scenario(scenario, **OPTIONS)
