Do not break off requests on connections that live on beside refused ones

What callers may see: 502 for an idempotent request in progress, as another request needed a new connection to the same target and was refused. By reading, shown by the new test ([502, 502, 200] instead of [200, 200, 200] before).

Cause: a failed connection broke off all idempotent attempts in progress at the target, so that they go another way; where connections live on, as with a cut that refuses new ones, they would have ended well. Now only a connection that hangs does so.

--- a/sesamespring/gateway/target_paths.py
+++ b/sesamespring/gateway/target_paths.py
@@ -184,7 +184,7 @@
             self._start_test(entry, self._loop.time())
 
     def watch(self, entry, on_lost):
-        """Call ``on_lost`` without arguments when the link to a target is lost."""
+        """Call ``on_lost`` without arguments when connections to a target hang."""
         self._watchers.setdefault(entry.key, []).append(on_lost)
 
     def unwatch(self, entry, on_lost):
@@ -227,7 +227,10 @@
     def _record_failure(self, entry, error):
         if isinstance(error, TimeoutError):
             # Open connections hang as well, and would hold requests until the deadline.
+            # Where new ones are refused, they may live on.
             self._connections.drop(entry.key)
+            for on_lost in tuple(self._watchers.get(entry.key, ())):
+                on_lost()
         if not self._reachability.record_failure(entry.key):
             return
         self._lost_s[entry.service] = self._loop.time()
@@ -237,8 +240,6 @@
             service=entry.service,
             reason=str(error) or type(error).__name__,
         )
-        for on_lost in tuple(self._watchers.get(entry.key, ())):
-            on_lost()
         self._judge()
 
     def _judge(self):
--- a/tests/gateway/test_cut_off_vms.py
+++ b/tests/gateway/test_cut_off_vms.py
@@ -146,3 +146,18 @@
         await load
 
     run_scenario(scenario, vms=3, targets=4, work_s=0.03)
+
+
+def test_requests_on_connections_that_live_on_are_not_broken_off():
+    async def scenario(cluster):
+        ip = cluster.ips[0]
+        calls = [asyncio.create_task(cluster.call(ip, f"r{n}")) for n in range(2)]
+        await asyncio.sleep(0.1)
+        cluster.cut_from_targets(ip, "refused")
+        # Needs a new connection, which is refused.
+        calls.append(asyncio.create_task(cluster.call(ip, "r2")))
+        responses = await asyncio.gather(*calls)
+        assert [response.status for response in responses] == [200] * 3
+        assert cluster.targets[0].cancelled == 0
+
+    run_scenario(scenario, vms=2, targets=1, work_s=0.4, slots=4)
