--- a/sesamespring/gateway/forwarding.py
+++ b/sesamespring/gateway/forwarding.py
@@ -7,8 +7,8 @@
 import h11
 from returns.result import Failure
 
-from sesamespring.gateway.attempt import (
-    Attempt,
+from sesamespring.gateway.attempt import Attempt
+from sesamespring.gateway.attempt_data import (
     AttemptResult,
     OutgoingRequest,
     without_framing,
--- a/sesamespring/gateway/relay_server.py
+++ b/sesamespring/gateway/relay_server.py
@@ -5,7 +5,8 @@
 import attrs
 import h11
 
-from sesamespring.gateway.attempt import Attempt, OutgoingRequest, without_framing
+from sesamespring.gateway.attempt import Attempt
+from sesamespring.gateway.attempt_data import OutgoingRequest, without_framing
 from sesamespring.gateway.bodies import read_body
 from sesamespring.gateway.caller_responses import (
     ResponseAborted,
--- a/tests/gateway/test_attempt_history.py
+++ b/tests/gateway/test_attempt_history.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from sesamespring.gateway.attempt import AttemptResult, TargetResponse
+from sesamespring.gateway.attempt_data import AttemptResult, TargetResponse
 from sesamespring.gateway.attempt_history import AttemptHistory, LocalResponse
 from sesamespring.routing.messages import AttemptEnded, Outcome
 
