--- a/soak/promises.py
+++ b/soak/promises.py
@@ -327,7 +327,10 @@
 
 
 def _check_lost_links(cluster, calls):
-    """Return Breaches for VMs without links whose callers are served worse."""
+    """Return Breaches for VMs without links whose callers are served worse.
+
+    The VMs that they are compared to must have had their links all the while.
+    """
     breaches = []
     for lost in cluster.lost_links:
         first_s = lost.since_s + LINKS_SETTLE_S
@@ -339,7 +342,10 @@
             and call.ended_s <= lost.until_s
             and not call.fatal
             and cluster.disturbances.is_undisturbed(
-                call.vm, lost.since_s, call.ended_s, without=(LINKS_LOST,)
+                call.vm,
+                lost.since_s,
+                call.ended_s,
+                without=(LINKS_LOST,) if call.vm in lost.vms else (),
             )
         ]
         cut = [call.status == 200 for call in during if call.vm in lost.vms]
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -183,6 +183,9 @@
     assert "lost-links" in broken_promises(faulty_cluster, *calls)
     faulty_cluster.disturbances.begin("vm-0", "links lost").start_s = 5.0
     assert "lost-links" in broken_promises(faulty_cluster, *calls)
+    both_cut = cluster(target(), lost_links=[lost])
+    both_cut.disturbances.begin("vm-1", "links lost").start_s = 6.0
+    assert "lost-links" not in broken_promises(both_cut, *calls)
     faulty_cluster.disturbances.begin("vm-0", "killed").start_s = 9.0
     assert "lost-links" not in broken_promises(faulty_cluster, *calls)
 
