Let the test of a target's next lifetime need that target

The load of 40 requests a second with 30 ms each (1.2 at a time) fits the two slots of the other target, so no request needs the new lifetime.

Ruled out: that the new lifetime is kept from use. The log shows it joined at both VMs within 10 ms and, where it was used at all, used from the first request that found no free slot at the other target.

Change: the test, no code. The load (3.2 at a time) now needs both targets; the time allowed falls from 4 s to 2 s; only arrivals after the registration count; and from then on all requests have to be served.

--- a/tests/gateway/test_target_demands.py
+++ b/tests/gateway/test_target_demands.py
@@ -161,12 +161,15 @@
         await send_load(cluster, 1.0)
         leaving.leaving = False
         await cluster.register(0, born=2)
+        registered_s = time.monotonic()
 
         async def is_used():
-            before = len(leaving.received)
             await send_load(cluster, 0.5)
-            return len(leaving.received) > before
+            return arrivals_after(leaving, registered_s) > 0
 
-        await wait_until(is_used, 4.0)
+        await wait_until(is_used, 2.0)
+        tries = await send_load(cluster, 1.0)
+        assert served_share(tries, cluster.ips) == 1.0
 
-    run_scenario(scenario, vms=2, targets=2, work_s=0.03)
+    # The load needs both targets: one with a free slot is enough for a lighter one.
+    run_scenario(scenario, vms=2, targets=2, work_s=0.08)
