--- a/sesamespring/gateway/attempt.py
+++ b/sesamespring/gateway/attempt.py
@@ -37,18 +37,20 @@
         dispatch: The Dispatch of the scheduler.
         outgoing: The OutgoingRequest.
         paths: The TargetPaths.
-        demands: The TargetDemands.
+        availability: The TargetAvailability.
         deadline_s: Time on the loop's clock at which the caller stops waiting.
         may_relay: Whether another VM may send the request where this one does not reach
             the target.
     """
 
-    def __init__(self, dispatch, outgoing, paths, demands, deadline_s, may_relay=True):
+    def __init__(
+        self, dispatch, outgoing, paths, availability, deadline_s, may_relay=True
+    ):
         self._dispatch = dispatch
         self._entry = dispatch.entry
         self._outgoing = outgoing
         self._paths = paths
-        self._demands = demands
+        self._availability = availability
         self._connections = paths.connections
         self._deadline_s = deadline_s
         self._may_relay = may_relay
@@ -192,7 +194,7 @@
         self._channel = channel
         if self._relay is not None:
             return await self._exchange_unwatched(channel)
-        if not self._demands.may_send(self._entry):
+        if not self._availability.may_send(self._entry):
             raise _NotWanted
         silence_s = self._paths.silence_s(self._dispatch.expected_s)
         timer = asyncio.get_running_loop().call_later(
@@ -272,7 +274,7 @@
                 if body is not None and not channel.is_framed:
                     await self._check_target_runs()
                 self._metadata = metadata
-                self._record_demands(metadata)
+                self._record_availability(metadata)
                 return self._classify(channel, head, metadata, body)
             if body is None:
                 break
@@ -280,13 +282,13 @@
             channel.discard_response()
         raise h11.RemoteProtocolError("target sent responses to other requests only")
 
-    def _record_demands(self, metadata):
-        """Record what the target demands; rest only if this VM sent the request."""
+    def _record_availability(self, metadata):
+        """Record what the target states; a backoff only if this VM sent the request."""
         if metadata.misdirected:
             return
-        self._demands.record_leaving(self._entry, metadata)
+        self._availability.record_leaving(self._entry, metadata)
         if self._relay is None and metadata.not_run:
-            self._demands.record_rest(self._entry, metadata)
+            self._availability.record_backoff(self._entry, metadata)
 
     async def _check_target_runs(self):
         """Check that the connection ended with the response, and not with the target.
--- a/sesamespring/gateway/context.py
+++ b/sesamespring/gateway/context.py
@@ -16,7 +16,7 @@
         target_connections: The TargetConnectionPool.
         paths: The TargetPaths.
         limits: The TargetLimits.
-        demands: The TargetDemands.
+        availability: The TargetAvailability.
         quarantine: The RequestQuarantine.
         counters: The Counters.
         log: The EventLog.
@@ -32,7 +32,7 @@
     target_connections: object
     paths: object
     limits: object
-    demands: object
+    availability: object
     quarantine: object
     counters: object
     log: object
--- a/sesamespring/gateway/daemon.py
+++ b/sesamespring/gateway/daemon.py
@@ -31,7 +31,7 @@
 from sesamespring.gateway.slot_client import SlotClient
 from sesamespring.gateway.slot_server import SlotServer
 from sesamespring.gateway.table_sync import FeedServer, PollTiming, TableSync
-from sesamespring.gateway.target_demands import TargetDemands
+from sesamespring.gateway.target_availability import TargetAvailability
 from sesamespring.gateway.target_limits import TargetLimits
 from sesamespring.gateway.target_paths import TargetPaths
 from sesamespring.http.pipeline import ServerLimits
@@ -100,7 +100,7 @@
         self._cluster_state = ClusterState(self._log, self._cluster_state_changed)
         self._store = StoreClient(settings.store_address, STORE_TIMEOUT_S)
         self._limits = TargetLimits(self._counters, self._log)
-        self._demands = TargetDemands(self._cluster_state, self._log)
+        self._availability = TargetAvailability(self._cluster_state, self._log)
         self._quarantine = RequestQuarantine(self._counters, self._log)
         self._quarantine_rows = QuarantineRows(self._store, self._quarantine, self._log)
         self._quarantine.on_changed = self._quarantine_rows.record_changed
@@ -109,7 +109,7 @@
             self._local_state,
             self._store,
             self._limits,
-            self._demands,
+            self._availability,
             self._quarantine,
             self._log,
             self._peers_changed,
@@ -141,14 +141,14 @@
         )
         self._limits.on_change = self._services.apply_limits
         self._limits.on_news = self._peers.broadcast_heartbeat
-        self._demands.on_news = self._peers.broadcast_heartbeat
+        self._availability.on_news = self._peers.broadcast_heartbeat
         self._quarantine.on_news = self._peers.broadcast
         self._peers.set_handler(CrashRecords, self._quarantine.handle_message)
         self._slot_client = SlotClient(
             self._services,
             self._peers,
             self._cluster_state,
-            self._demands,
+            self._availability,
             self._counters,
             self._log,
         )
@@ -158,7 +158,7 @@
         self._prober = Prober(
             self._services,
             self._limits,
-            self._demands,
+            self._availability,
             self._paths,
             self._counters,
             probes_per_s,
@@ -170,7 +170,7 @@
             self._target_connections,
             self._paths,
             self._limits,
-            self._demands,
+            self._availability,
             self._quarantine,
             self._counters,
             self._log,
@@ -320,7 +320,7 @@
             await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
             self._cluster_state.drop_expired()
             self._limits.drop_outdated(self._cluster_state.target_keys)
-            self._demands.drop_outdated()
+            self._availability.drop_outdated()
             self._quarantine.drop_expired()
             self._counters.set("vms_heard", len(self._peers.alive))
             self._counters.set("requests_in_progress", self._callers.in_progress)
--- a/sesamespring/gateway/forwarding.py
+++ b/sesamespring/gateway/forwarding.py
@@ -211,7 +211,7 @@
             dispatch,
             self._outgoing,
             self._context.paths,
-            self._context.demands,
+            self._context.availability,
             dispatch.request.deadline_s,
         )
         task = self._loop.create_task(attempt.run())
--- a/sesamespring/gateway/peers.py
+++ b/sesamespring/gateway/peers.py
@@ -37,7 +37,7 @@
             dict.
         store: The StoreClient with which this VM registers its address.
         limits: The TargetLimits that heartbeats carry.
-        demands: The TargetDemands that heartbeats carry.
+        availability: The TargetAvailability that heartbeats carry.
         quarantine: The RequestQuarantine whose records heartbeats carry.
         log: The EventLog.
         on_change: Function without arguments, called when a VM appears, becomes silent
@@ -45,13 +45,21 @@
     """
 
     def __init__(
-        self, settings, local_state, store, limits, demands, quarantine, log, on_change
+        self,
+        settings,
+        local_state,
+        store,
+        limits,
+        availability,
+        quarantine,
+        log,
+        on_change,
     ):
         self._settings = settings
         self._local_state = local_state
         self._store = store
         self._limits = limits
-        self._demands = demands
+        self._availability = availability
         self._quarantine = quarantine
         self._log = log
         self._on_change = on_change
@@ -208,7 +216,7 @@
             targets_era=own.targets_era,
             callers_port=own.callers_port,
             limits=self._limits.for_heartbeat(),
-            leaving_targets=self._demands.for_heartbeat(),
+            leaving_targets=self._availability.for_heartbeat(),
             crash_records=self._quarantine.for_heartbeat(),
             unreachable_services=list(own.unreachable_services),
             reaches_no_target=own.reaches_no_target,
@@ -252,7 +260,7 @@
         fields["unreachable_services"] = tuple(fields["unreachable_services"] or ())
         member = Member(name=fields.pop("vm"), address=address, **fields)
         self._limits.record_heartbeat(limits, member.name)
-        self._demands.record_heartbeat(leaving_targets, member.name)
+        self._availability.record_heartbeat(leaving_targets, member.name)
         self._quarantine.record_heartbeat(crash_records, member.name)
         is_new = address not in self._last_received_s
         self._last_received_s[address] = now_s
--- a/sesamespring/gateway/prober.py
+++ b/sesamespring/gateway/prober.py
@@ -28,16 +28,16 @@
         services: Object whose ``services_to_probe()`` returns pairs of ServiceRunner
             and health path of the services whose targets are probed.
         limits: The TargetLimits.
-        demands: The TargetDemands.
+        availability: The TargetAvailability.
         paths: The TargetPaths.
         counters: The Counters.
         probes_per_s: Maximum rate of health checks to one target, per second.
     """
 
-    def __init__(self, services, limits, demands, paths, counters, probes_per_s):
+    def __init__(self, services, limits, availability, paths, counters, probes_per_s):
         self._services = services
         self._limits = limits
-        self._demands = demands
+        self._availability = availability
         self._paths = paths
         self._counters = counters
         self._interval_s = max(REPORT_AGE_MAX_S, CONCURRENT_PROBERS / probes_per_s)
@@ -76,7 +76,7 @@
     def _is_due(self, key, state, now_s):
         if key in self._tasks or not state.in_service:
             return False
-        if self._demands.is_resting(key):
+        if self._availability.is_backing_off(key):
             return False
         if len(state.active_attempts) >= state.entry.slots:
             return False
@@ -105,8 +105,8 @@
             self._paths.record_contact(state.entry)
             if metadata.target_id in (None, state.entry.id):
                 self._limits.record_response(key, metadata.limit_per_s)
-                self._demands.record_rest(state.entry, metadata)
-                self._demands.record_leaving(state.entry, metadata)
+                self._availability.record_backoff(state.entry, metadata)
+                self._availability.record_leaving(state.entry, metadata)
                 runner.scheduler.record_load(
                     key, metadata.load, metadata.cold_left_s, now_s
                 )
--- a/sesamespring/gateway/relay_server.py
+++ b/sesamespring/gateway/relay_server.py
@@ -137,7 +137,7 @@
             _RelayDispatch(entry),
             outgoing,
             self._context.paths,
-            self._context.demands,
+            self._context.availability,
             deadline_s,
             may_relay=False,
         )
--- a/sesamespring/gateway/slot_client.py
+++ b/sesamespring/gateway/slot_client.py
@@ -94,16 +94,16 @@
         services: The Services.
         peers: The Peers.
         cluster_state: The ClusterState.
-        demands: The TargetDemands.
+        availability: The TargetAvailability.
         counters: The Counters.
         log: The EventLog.
     """
 
-    def __init__(self, services, peers, cluster_state, demands, counters, log):
+    def __init__(self, services, peers, cluster_state, availability, counters, log):
         self._services = services
         self._peers = peers
         self._cluster_state = cluster_state
-        self._demands = demands
+        self._availability = availability
         self._counters = counters
         self._log = log
         self._loop = asyncio.get_running_loop()
@@ -136,8 +136,8 @@
     def resubmit(self, slot_request):
         """Request another slot after an attempt has failed."""
         slot_request.waiting = True
-        resting = self._demands.resting_keys(slot_request.service)
-        slot_request.request.tried |= resting
+        backing_off = self._availability.backoff_keys(slot_request.service)
+        slot_request.request.tried |= backing_off
         slot_request.round += 1
         slot_request.unanswered_sends = 0
         decider = self._usable_decider(slot_request.service)
@@ -209,7 +209,7 @@
             slot_request.waiting = False
             if not isinstance(command, Dispatch):
                 slot_request.on_command(self._with_retry_after(command))
-            elif self._demands.may_send(command.entry):
+            elif self._availability.may_send(command.entry):
                 slot_request.accepted += 1
                 slot_request.on_command(command)
             else:
@@ -278,7 +278,11 @@
             return
         slot_request = self._find_current(message, address)
         entry = self._cluster_state.target((message.target, message.born_ms))
-        if slot_request is None or entry is None or not self._demands.may_send(entry):
+        if (
+            slot_request is None
+            or entry is None
+            or not self._availability.may_send(entry)
+        ):
             # Says nothing about the target, which other VMs may know and reach.
             unused = AttemptEnded(message.attempt, Outcome.CANCELLED, 0.0)
             grant = _Grant(address, message.attempt)
@@ -343,11 +347,11 @@
             self.resubmit(slot_request)
 
     def _with_retry_after(self, command):
-        """Return a command in which a Refusal says when a target has had its rest."""
+        """Return a command in which a Refusal says when a backoff ends."""
         if command.reason is not RefusalReason.NO_UNTRIED_TARGET:
             return command
-        rest_s = self._demands.retry_after_s(command.request.tried)
-        retry_after_s = max(command.retry_after_s, rest_s)
+        backoff_s = self._availability.retry_after_s(command.request.tried)
+        retry_after_s = max(command.retry_after_s, backoff_s)
         return attrs.evolve(command, retry_after_s=retry_after_s)
 
     def _is_in_progress(self, message, address):
--- a/sesamespring/gateway/target_demands.py
+++ b/sesamespring/gateway/target_availability.py
@@ -1,11 +1,11 @@
-"""Keep to what targets demand of this VM in their responses: rest, and no new work."""
+"""Keep which targets have asked this VM to back off or stated that they leave."""
 
 import asyncio
 
 from sesamespring.gateway.generated.ttypes import TargetLifetime
-from sesamespring.routing.rest_times import RestTimes
+from sesamespring.routing.requested_backoffs import RequestedBackoffs
 
-__all__ = ["TargetDemands"]
+__all__ = ["TargetAvailability"]
 
 # Keeps a heartbeat far below the largest datagram.
 LEAVING_PER_HEARTBEAT_MAX = 32
@@ -13,12 +13,12 @@
 LEAVING_NEWS_S = 10.0
 
 
-class TargetDemands:
-    """Which targets want no request of this VM, and which take no new work at all.
+class TargetAvailability:
+    """Which targets have asked this VM for no requests, and which take no new work.
 
-    Load it answers: targets that reject requests and ask for rest, and targets that
-    leave before the store says so. A demand for rest binds this VM alone, on each way
-    to the target. That a target is leaving is told to all VMs.
+    Load it answers: targets that reject requests and ask for a backoff, and targets
+    that leave before the store says so. A requested backoff binds this VM alone, on
+    each way to the target. That a target is leaving is told to all VMs.
 
     Args:
         cluster_state: The ClusterState.
@@ -33,7 +33,7 @@
         self.on_news = lambda: None
         self._cluster_state = cluster_state
         self._log = log
-        self._rests = RestTimes()
+        self._backoffs = RequestedBackoffs()
         self._leaving_s = {}
         self._loop = asyncio.get_running_loop()
 
@@ -43,40 +43,40 @@
         Args:
             entry: The TargetEntry, possibly of some time ago.
         """
-        if self.is_resting(entry.key):
+        if self.is_backing_off(entry.key):
             return False
         known = self._cluster_state.target(entry.key)
         return known is None or not known.leaving
 
-    def is_resting(self, key):
-        """Return whether a target wants nothing from this VM now."""
-        return self._rests.is_resting(key, self._loop.time())
+    def is_backing_off(self, key):
+        """Return whether this VM has to send a target nothing now."""
+        return self._backoffs.is_backing_off(key, self._loop.time())
 
-    def resting_keys(self, service):
-        """Return the set of the keys of a service's targets that want rest now."""
-        resting = self._rests.keys(self._loop.time())
-        known = [self._cluster_state.target(key) for key in resting]
+    def backoff_keys(self, service):
+        """Return the keys of a service's targets that get no request now, as a set."""
+        backing_off = self._backoffs.keys(self._loop.time())
+        known = [self._cluster_state.target(key) for key in backing_off]
         return {e.key for e in known if e is not None and e.service == service}
 
     def retry_after_s(self, keys):
-        """Return the seconds until the first of some targets has had its rest, or 0."""
-        return self._rests.first_end_s(keys, self._loop.time())
+        """Return the seconds until the first backoff among some targets ends, or 0."""
+        return self._backoffs.first_end_s(keys, self._loop.time())
 
-    def record_rest(self, entry, metadata):
-        """Record the rest that a target asks for in a response to this VM.
+    def record_backoff(self, entry, metadata):
+        """Record the backoff that a target asks for in a response to this VM.
 
         Args:
             entry: The TargetEntry.
             metadata: The ResponseMetadata.
         """
-        if metadata.rest_s is None:
+        if metadata.backoff_s is None:
             return
-        self._rests.record(entry.key, metadata.rest_s, self._loop.time())
+        self._backoffs.record(entry.key, metadata.backoff_s, self._loop.time())
         self._log.event(
-            "target-wants-rest",
+            "target-requests-backoff",
             target=entry.id,
             service=entry.service,
-            rest_s=metadata.rest_s,
+            backoff_s=metadata.backoff_s,
         )
 
     def record_leaving(self, entry, metadata):
@@ -108,9 +108,9 @@
         ]
 
     def drop_outdated(self):
-        """Forget rests that are over and old news."""
+        """Forget backoffs that are over and old news."""
         now_s = self._loop.time()
-        self._rests.drop_outdated(now_s)
+        self._backoffs.drop_outdated(now_s)
         oldest_s = now_s - LEAVING_NEWS_S
         self._leaving_s = {k: s for k, s in self._leaving_s.items() if s > oldest_s}
 
--- a/sesamespring/platform/headers.py
+++ b/sesamespring/platform/headers.py
@@ -31,8 +31,8 @@
 LIMIT_PER_S = b"server-limit"
 # In each response of a target that takes no new work, as it is about to stop.
 LEAVING = b"server-leaving"
-# In a response that rejects a request: for how long the target wants none of this VM.
-REST_S = b"retry-after"
+# In a response that rejects a request: for how long this VM has to send no other.
+RETRY_AFTER_S = b"retry-after"
 REJECTING_STATUSES = frozenset({429, 503})
 MISDIRECTED = 421
 NORMAL_SLOWDOWN_PERCENT = 100
@@ -60,8 +60,8 @@
         limit_per_s: Requests per second that the target takes from all VMs together,
             NO_LIMIT if it names no limit, or None if its limit cannot be read.
         leaving: Whether the target states that it is leaving.
-        rest_s: For how long the target wants no request of this VM, in seconds, or
-            None if it does not ask for rest.
+        backoff_s: For how long the target asks this VM to back off, in seconds, or
+            None if it does not ask for it.
     """
 
     request_id: bytes | None
@@ -75,7 +75,7 @@
     idle_s: float | None
     limit_per_s: float | None
     leaving: bool = False
-    rest_s: float | None = None
+    backoff_s: float | None = None
 
 
 def read_request_id(headers):
@@ -153,7 +153,7 @@
         idle_s=_read_idle(fields.get(b"keep-alive")),
         limit_per_s=_read_limit(fields.get(LIMIT_PER_S)),
         leaving=fields.get(LEAVING, b"").strip() == b"1",
-        rest_s=_read_rest(fields.get(REST_S)) if rejects else None,
+        backoff_s=_read_backoff(fields.get(RETRY_AFTER_S)) if rejects else None,
     )
 
 
@@ -195,11 +195,13 @@
     return float(raw) if _DECIMAL.fullmatch(raw.strip()) else None
 
 
-def _read_rest(raw):
-    """Decode a rest in seconds; a date, which the header may also hold, is ignored.
+def _read_backoff(raw):
+    """Decode the seconds to back off for; a date, also allowed, is ignored.
 
-    >>> _read_rest(b"2.5000000000001"), _read_rest(b"Fri, 04 Dec 2026 10:00:00 GMT")
-    (2.5000000000001, None)
+    >>> _read_backoff(b"2.5000000000001")
+    2.5000000000001
+    >>> _read_backoff(b"Fri, 04 Dec 2026 10:00:00 GMT") is None
+    True
     """
     if raw is None or not _DECIMAL.fullmatch(raw.strip()):
         return None
--- a/sesamespring/routing/messages.py
+++ b/sesamespring/routing/messages.py
@@ -110,7 +110,7 @@
         limit_per_s: Requests per second that the target takes from all VMs according to
             its response, or None if it did not respond.
         blameless: Whether the cause lies with the VM, which lost its link to the
-            target or keeps to what the target demands of it, so that the end says
+            target or keeps to what the target asked of it, so that the end says
             nothing about the target.
     """
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -42,7 +42,7 @@
 FATAL_MIN_S = 5.0
 # Longer than VMs have to find another way to the targets.
 LOST_LINKS_MIN_S = 5.0
-REST_S = (1.0, 3.0)
+BACKOFF_S = (1.0, 3.0)
 REJECTING_S_MAX = 1.0
 
 
@@ -257,11 +257,11 @@
                 if not any(vm.name in o.vms for o in cluster.lost_links if not o.over):
                     vm.restore_links()
 
-    async def ask_for_rest(self, for_s):
-        """Let a target reject all requests for a moment, and ask for rest."""
+    async def request_backoff(self, for_s):
+        """Let a target reject all requests for a moment, and ask for a backoff."""
         target = await self._choose_running_target()
         with self._cluster.record_disturbance(target.name, "busy"):
-            target.server.busy_s = self._random.uniform(*REST_S)
+            target.server.busy_s = self._random.uniform(*BACKOFF_S)
             await asyncio.sleep(min(for_s, REJECTING_S_MAX))
             target.server.busy_s = None
 
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -43,9 +43,9 @@
 LINKS_SERVED_RATIO = 2 / 3
 LINKS_FAILED_SLACK = 10
 LINKS_FAILED_RATIO = 1 / 50
-# What a target may get from a VM that it has asked for rest, after the start of it.
-REST_START_S = 0.5
-REST_REQUESTS_MAX = 2
+# What a target may get from a VM that it has asked to back off, after the start of it.
+BACKOFF_START_S = 0.5
+BACKOFF_REQUESTS_MAX = 2
 # Minimum share of successful requests after all faults have ended.
 RECOVERED_SHARE = 0.95
 # The kind of disturbance that is a graceful stop by SIGTERM.
@@ -87,7 +87,7 @@
     breaches += _check_configuration(cluster, load.calls)
     breaches += _check_fatal_requests(cluster, load.calls)
     breaches += _check_lost_links(cluster, load.calls)
-    breaches += _check_rests(cluster)
+    breaches += _check_requested_backoffs(cluster)
     breaches += _check_stated_leaving(cluster)
     return breaches
 
@@ -360,24 +360,28 @@
     return breaches
 
 
-def _check_rests(cluster):
-    """Return Breaches for VMs that send to a target that wants rest of them."""
+def _check_requested_backoffs(cluster):
+    """Return Breaches for VMs that send to a target that asked them to back off."""
     names = {vm.ip: vm.name for vm in cluster.vms}
     breaches = []
     for target in cluster.targets:
         arrivals = target.server.arrivals
-        for asked in (arrival for arrival in arrivals if arrival.rest_s is not None):
-            first_s = asked.at_s + REST_START_S
+        for asked in (arrival for arrival in arrivals if arrival.backoff_s is not None):
+            first_s = asked.at_s + BACKOFF_START_S
             during = [
                 arrival
                 for arrival in arrivals
                 if arrival.client_ip == asked.client_ip
-                and first_s < arrival.at_s < asked.at_s + asked.rest_s
+                and first_s < arrival.at_s < asked.at_s + asked.backoff_s
             ]
-            if len(during) > REST_REQUESTS_MAX and cluster.disturbances.is_undisturbed(
+            if len(
+                during
+            ) > BACKOFF_REQUESTS_MAX and cluster.disturbances.is_undisturbed(
                 names[asked.client_ip], asked.at_s, during[-1].at_s
             ):
-                breaches.append(Breach("rest", f"{target.name}: {asked}, {during}"))
+                breaches.append(
+                    Breach("requested-backoff", f"{target.name}: {asked}, {during}")
+                )
     return breaches
 
 
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -25,7 +25,7 @@
         request_id: The request id that the caller chose.
         accepted: Whether the target ran it; it is rejected if no slot is free.
         client_ip: IP address of the VM that sent it.
-        rest_s: For how long the target asked this VM for rest in its response, in
+        backoff_s: For how long the target asked this VM to back off in its response, in
             seconds, or None.
     """
 
@@ -33,7 +33,7 @@
     request_id: str
     accepted: bool
     client_ip: str | None = None
-    rest_s: float | None = None
+    backoff_s: float | None = None
 
 
 @attrs.define
--- a/tests/gateway/test_slot_client.py
+++ b/tests/gateway/test_slot_client.py
@@ -71,30 +71,30 @@
         pass
 
 
-class Demands:
-    """A fake of TargetDemands: the targets in ``resting`` want no request."""
+class Availability:
+    """A fake of TargetAvailability: the targets in ``backing_off`` get no request."""
 
     def __init__(self):
-        self.resting = set()
+        self.backing_off = set()
 
     def may_send(self, entry):
-        return entry.key not in self.resting
+        return entry.key not in self.backing_off
 
-    def resting_keys(self, service):
-        return self.resting
+    def backoff_keys(self, service):
+        return self.backing_off
 
     def retry_after_s(self, keys):
         return 2.0
 
 
-def run_scenario(scenario, incarnation=1, known=(ENTRY,), demands=None):
+def run_scenario(scenario, incarnation=1, known=(ENTRY,), availability=None):
     """Run ``scenario(client, peers, runner)``; the client's decider is remote.
 
     Args:
         scenario: Coroutine function.
         incarnation: Incarnation of this VM.
         known: TargetEntries that this VM knows.
-        demands: The Demands, or None if no target has any.
+        availability: The Availability, or None if no target asked for a backoff.
     """
 
     async def main():
@@ -109,7 +109,12 @@
         counters = types.SimpleNamespace(add=lambda name: None)
         log = types.SimpleNamespace(event=lambda event, **fields: None)
         client = SlotClient(
-            services, peers, cluster_state, demands or Demands(), counters, log
+            services,
+            peers,
+            cluster_state,
+            availability or Availability(),
+            counters,
+            log,
         )
         await scenario(client, peers, runner)
 
@@ -258,14 +263,14 @@
     run_scenario(scenario)
 
 
-def test_grant_in_flight_at_a_target_that_wants_rest_is_given_back():
-    demands = Demands()
+def test_grant_in_flight_at_a_target_that_asked_for_a_backoff_is_given_back():
+    availability = Availability()
 
     async def scenario(client, peers, runner):
         commands = []
         client.submit("s", request(), commands.append)
         wanted = peers.sent[-1]
-        demands.resting.add(ENTRY.key)
+        availability.backing_off.add(ENTRY.key)
         peers.deliver(SlotGranted(wanted.request, 1, 7, "t", 1, False, 0.1))
         ended = next(m for m in peers.sent if isinstance(m, SlotEnded))
         assert (ended.attempt, ended.outcome) == (7, Outcome.CANCELLED.value)
@@ -273,12 +278,12 @@
         again = peers.sent[-1]
         assert (again.round, again.tried, again.extra) == (2, ["t"], False)
 
-    run_scenario(scenario, demands=demands)
+    run_scenario(scenario, availability=availability)
 
 
-def test_own_dispatch_to_a_target_that_wants_rest_is_given_back():
-    demands = Demands()
-    demands.resting.add(ENTRY.key)
+def test_own_dispatch_to_a_target_that_asked_for_a_backoff_is_given_back():
+    availability = Availability()
+    availability.backing_off.add(ENTRY.key)
 
     async def scenario(client, peers, runner):
         commands = []
@@ -287,7 +292,7 @@
         assert runner.ended[:1] == [1]
         assert not [c for c in commands if isinstance(c, Dispatch)]
 
-    run_scenario(scenario, demands=demands)
+    run_scenario(scenario, availability=availability)
 
 
 def test_refusal_as_all_targets_want_rest_says_when_the_first_has_had_it():
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -190,7 +190,7 @@
     assert "lost-links" not in broken_promises(faulty_cluster, *calls)
 
 
-def test_detects_requests_at_a_target_that_wants_rest():
+def test_detects_requests_at_a_target_that_asked_for_a_backoff():
     fake_target = target()
     fake_target.server.arrivals.append(Arrival(10.0, "r0", False, "ip-0", 2.0))
     for number in range(3):
@@ -198,9 +198,9 @@
         fake_target.server.arrivals.append(arrival)
     calls = [call(f"r{number}") for number in range(3)]
     faulty_cluster = cluster(fake_target)
-    assert "rest" in broken_promises(faulty_cluster, *calls)
+    assert "requested-backoff" in broken_promises(faulty_cluster, *calls)
     faulty_cluster.disturbances.begin("vm-0", "killed").start_s = 10.5
-    assert "rest" not in broken_promises(faulty_cluster, *calls)
+    assert "requested-backoff" not in broken_promises(faulty_cluster, *calls)
 
 
 def test_detects_requests_at_a_target_that_says_it_is_leaving():
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -18,7 +18,7 @@
     (1012, 3.0, FAULTS_AT_9102),
     # A path that many callers read was kept back for crashes by a fatal request.
     (9102, 12.0, FAULTS_AT_9102),
-    (26, 10.0, ("lose_links", "ask_for_rest", "state_leaving")),
+    (26, 10.0, ("lose_links", "request_backoff", "state_leaving")),
 ]
 
 
