Close connections to VMs that made attempts and were replaced

Ruled out: that the connections stay open; the other end has gone, only objects remain.

Change: TargetPaths.drop_departed_relays, called when the set of VMs changes.

--- a/sesamespring/gateway/daemon.py
+++ b/sesamespring/gateway/daemon.py
@@ -314,6 +314,7 @@
     def _peers_changed(self):
         self._services.update()
         self._slot_server.keep_only({m.address for m in self._peers.alive.values()})
+        self._paths.drop_departed_relays()
 
     async def _run_housekeeping(self):
         while True:
--- a/sesamespring/gateway/target_paths.py
+++ b/sesamespring/gateway/target_paths.py
@@ -174,6 +174,11 @@
         names = rank(subject, cores)
         return [members[name] for name in names[:RELAYS_MAX]]
 
+    def drop_departed_relays(self):
+        """Close the idle connections to VMs that are silent or were replaced."""
+        members = self._peers.alive.values()
+        self._relay_connections.keep_only({(m.name, m.incarnation) for m in members})
+
     def silence_s(self, expected_s):
         """Return after how many seconds of silence an attempt's link is tested."""
         return max(SILENCE_MIN_S, SILENCE_FACTOR * expected_s)
