Use the late answer of a deciding VM that was taken for silent

Cause: a VM that gets no answer in 60 ms from the VM which decides schedules its requests itself for a second, and ignored each later answer. Where all targets name limits, the share of a VM that decides alone may be 0; its requests then waited until their deadline, though the deciding VM had only been slow by some milliseconds and had refused them at once.

Change: a request that still waits here goes back to the deciding VM when that one answers, its queue, grant or refusal counts, and the VM is asked again at once. A grant for a request that was sent meanwhile is given back, as before.

Tests: two new ones of test_slot_client.py failed before; a third (the late grant) passed before and after.

--- a/sesamespring/gateway/slot_client.py
+++ b/sesamespring/gateway/slot_client.py
@@ -65,6 +65,8 @@
         on_command: Function called with each Dispatch and Refusal.
         number: Number that identifies the request in messages to other VMs.
         decider: The Member that schedules the request, or None if this VM does.
+        silent_decider: The Member that did not answer in this round, so that this VM
+            schedules the request, or None.
         round: Number of times that a slot was requested; matches messages to requests.
         unanswered_sends: How often SlotWanted was sent in this round since the decider
             last responded.
@@ -79,6 +81,7 @@
     on_command: object
     number: int
     decider: object = None
+    silent_decider: object = None
     round: int = 0
     unanswered_sends: int = 0
     timer: object = None
@@ -140,6 +143,7 @@
         slot_request.request.tried |= backing_off
         slot_request.round += 1
         slot_request.unanswered_sends = 0
+        slot_request.silent_decider = None
         decider = self._usable_decider(slot_request.service)
         if decider is None:
             self._schedule_locally(slot_request)
@@ -261,8 +265,20 @@
             service=slot_request.service,
             outcome="deciding-here",
         )
+        slot_request.silent_decider = decider
         self._schedule_locally(slot_request)
 
+    def _return_to_decider(self, slot_request):
+        """Let a decider that answers late schedule a request which still waits here."""
+        decider = slot_request.silent_decider
+        slot_request.silent_decider = None
+        slot_request.decider = decider
+        self._services.runner(slot_request.service).withdraw(slot_request.request)
+        self._backoff_until_s.pop(decider.name, None)
+        self._log.event(
+            "decider-answers-late", peer=decider.name, service=slot_request.service
+        )
+
     def _handle_queued(self, message, address):
         slot_request = self._find_current(message, address)
         if slot_request is None:
@@ -383,18 +399,22 @@
         request waits; a hedge also counts while an attempt is in progress.
         """
         slot_request = self._slot_requests.get(message.request)
-        if (
-            slot_request is None
-            or slot_request.decider is None
-            or slot_request.decider.address != address
-        ):
+        if slot_request is None or message.round != slot_request.round:
             return None
-        is_hedge = getattr(message, "hedge", False)
-        if message.round != slot_request.round or not (
-            slot_request.waiting or is_hedge
-        ):
+        if slot_request.waiting and self._is_late_answer(slot_request, address):
+            self._return_to_decider(slot_request)
+        decider = slot_request.decider
+        if decider is None or decider.address != address:
             return None
-        return slot_request
+        is_hedge = getattr(message, "hedge", False)
+        return slot_request if slot_request.waiting or is_hedge else None
+
+    def _is_late_answer(self, slot_request, address):
+        """Whether a message is from the decider that was taken for silent."""
+        decider = slot_request.silent_decider
+        if decider is None or decider.address != address:
+            return False
+        return self._services.decider(slot_request.service) == decider.name
 
     def _send_ended(self, grant, number, end):
         """Send the end of an attempt to the VM of a _Grant, and repeat it later."""
--- a/tests/gateway/test_slot_client.py
+++ b/tests/gateway/test_slot_client.py
@@ -6,6 +6,7 @@
 from sesamespring.gateway.generated.ttypes import (
     SlotEnded,
     SlotGranted,
+    SlotQueued,
     SlotRefused,
     SlotWanted,
 )
@@ -52,23 +53,26 @@
 
 
 class Runner:
-    """A fake of ServiceRunner that grants each slot at once, but no retry."""
+    """A fake of ServiceRunner that grants each slot at once if ``free``; no retry."""
 
     def __init__(self):
         self.ended = []
+        self.withdrawn = []
+        self.free = True
         self.scheduler = types.SimpleNamespace(may_retry=lambda request, now_s: False)
 
     def next_number(self):
         return 1
 
     def submit(self, request, on_command):
-        on_command(Dispatch(request, 1, ENTRY, False, 0.0, 0.1, 0.0))
+        if self.free:
+            on_command(Dispatch(request, 1, ENTRY, False, 0.0, 0.1, 0.0))
 
     def finish_attempt(self, end):
         self.ended.append(end.attempt)
 
     def withdraw(self, request):
-        pass
+        self.withdrawn.append(request)
 
 
 class Availability:
@@ -305,3 +309,60 @@
         assert commands[0].retry_after_s == 2.0
 
     run_scenario(scenario)
+
+
+async def waiting_locally(client, peers, runner):
+    """Return a SlotRequest that waits here for a slot, and the list of its commands."""
+    runner.free = False
+    commands = []
+    slot_request = client.submit("s", request(), commands.append)
+    await asyncio.sleep(SILENCE_S)
+    assert len([m for m in peers.sent if isinstance(m, SlotWanted)]) == SENDS_MAX
+    return slot_request, commands
+
+
+def test_request_that_waits_here_goes_back_to_a_decider_that_answers_late():
+    async def scenario(client, peers, runner):
+        slot_request, commands = await waiting_locally(client, peers, runner)
+        peers.deliver(SlotQueued(request=slot_request.number, round=1))
+        assert runner.withdrawn == [slot_request.request]
+        grant(peers)
+        assert [command.entry for command in commands] == [ENTRY]
+        # The decider is asked for the next slot at once, not after its backoff.
+        client.resubmit(slot_request)
+        wanted = [m for m in peers.sent if isinstance(m, SlotWanted)]
+        assert wanted[-1].round == 2
+
+    run_scenario(scenario)
+
+
+def test_late_refusal_ends_a_request_that_waits_here():
+    async def scenario(client, peers, runner):
+        slot_request, commands = await waiting_locally(client, peers, runner)
+        peers.deliver(
+            SlotRefused(
+                request=slot_request.number,
+                round=1,
+                reason=RefusalReason.TOO_LATE.value,
+                retry_after_s=1.0,
+                waiting=1,
+                needed_s=2.0,
+            )
+        )
+        assert [command.reason for command in commands] == [RefusalReason.TOO_LATE]
+        assert runner.withdrawn == [slot_request.request]
+
+    run_scenario(scenario)
+
+
+def test_late_grant_is_given_back_if_the_request_was_sent_meanwhile():
+    async def scenario(client, peers, runner):
+        commands = []
+        client.submit("s", request(), commands.append)
+        await asyncio.sleep(SILENCE_S)
+        grant(peers)
+        assert len(commands) == 1
+        (ended,) = [m for m in peers.sent if isinstance(m, SlotEnded)]
+        assert ended.outcome == Outcome.CANCELLED.value
+
+    run_scenario(scenario)
