Do not count a pause of a VM as silence of the deciding one

Cause: the timers that wait 30 ms for the answer of the VM which decides run out during a pause of this process, before its answer, which has arrived, is read. The VM then decides alone for requests whose slots the other one has granted.

Change: a timer that runs out more than 10 ms late is started once more.

Tests: a new one of test_slot_client.py failed before.

Conclusion: a process that is slow all the time is not told from one that is silent.

--- a/sesamespring/gateway/slot_client.py
+++ b/sesamespring/gateway/slot_client.py
@@ -32,6 +32,8 @@
 
 RESPONSE_TIMEOUT_S = 0.03
 SENDS_MAX = 2
+# A timer that runs out this late shows that this process has been paused.
+PAUSE_MIN_S = 0.01
 # While a request waits in the decider's queue, SlotWanted is sent again after this
 # time, in case the grant or refusal was lost.
 QUEUED_RESEND_S = 0.1
@@ -246,11 +248,20 @@
             RESPONSE_TIMEOUT_S, self._check_response, slot_request
         )
 
-    def _check_response(self, slot_request):
-        """Send SlotWanted again, or schedule locally if the decider stays silent."""
+    def _check_response(self, slot_request, may_have_paused=True):
+        """Send SlotWanted again, or schedule locally if the decider stays silent.
+
+        After a pause of this process, the answer may not have been read yet.
+        """
+        late_s = self._loop.time() - slot_request.timer.when()
         slot_request.timer = None
         if not slot_request.waiting:
             return
+        if may_have_paused and late_s > PAUSE_MIN_S:
+            slot_request.timer = self._loop.call_later(
+                RESPONSE_TIMEOUT_S, self._check_response, slot_request, False
+            )
+            return
         decider = slot_request.decider
         if slot_request.unanswered_sends < SENDS_MAX and self._peers.is_alive(
             decider.name
--- a/tests/gateway/test_slot_client.py
+++ b/tests/gateway/test_slot_client.py
@@ -1,6 +1,7 @@
 """Test how slots are requested, granted and freed, without sockets."""
 
 import asyncio
+import time
 import types
 
 from sesamespring.gateway.generated.ttypes import (
@@ -366,3 +367,20 @@
         assert ended.outcome == Outcome.CANCELLED.value
 
     run_scenario(scenario)
+
+
+def test_pause_of_this_vm_does_not_count_as_silence_of_the_decider():
+    async def scenario(client, peers, runner):
+        commands = []
+        slot_request = client.submit("s", request(), commands.append)
+        for _ in range(SENDS_MAX):
+            await asyncio.sleep(RESPONSE_TIMEOUT_S / 2)
+            time.sleep(2 * RESPONSE_TIMEOUT_S)
+            await asyncio.sleep(RESPONSE_TIMEOUT_S / 3)
+        assert commands == []
+        peers.deliver(SlotQueued(request=slot_request.number, round=1))
+        grant(peers)
+        assert [command.expected_s for command in commands] == [0.1]
+        assert slot_request.granted
+
+    run_scenario(scenario)
