Count a trial only for the quarantine that it was chosen in

Cause: the end of a trial was counted for whatever record its content had by then. For the same reason a permission from before a clearance could hold after it, if no trial had been counted.

Ruled out: counting a trial twice, as its number is compared as well.

Change: the permission names the number of clearances; it holds, and its end counts, only while trials and clearances are the same. A record that was forgotten is not an error.

Tests: two new ones of tests/routing/test_quarantine.py.

--- a/sesamespring/gateway/content_admission.py
+++ b/sesamespring/gateway/content_admission.py
@@ -67,7 +67,8 @@
         if outcome.not_run:
             self._trial_sent = False
         elif self._admission.trial is not None:
-            self._quarantine.record_trial(self._report.content_id)
+            content = self._report.content_id
+            self._quarantine.record_trial(content, self._admission)
         known = self._context.cluster_state.target(entry.key)
         if crashed and known is not None and not known.leaving:
             self._quarantine.record_crash(self._report.content_id, entry.key)
--- a/sesamespring/gateway/request_quarantine.py
+++ b/sesamespring/gateway/request_quarantine.py
@@ -74,17 +74,17 @@
         self._tell(record, "reserved")
         if record is None:
             return Admission(False)
-        return Admission(True, record.trials, now_s + RESERVATION_S)
+        until_s = now_s + RESERVATION_S
+        return Admission(True, record.trials, until_s, record.clearances)
 
     def permits(self, content, admission):
         """Return whether a request with this Admission may still be sent."""
         return self._quarantine.permits(content, admission, self._loop.time())
 
-    def record_trial(self, content):
-        """Record that a trial of a content has not cleared it."""
-        if self.record(content) is not None:
-            now_s = self._loop.time()
-            self._tell(self._quarantine.record_trial(content, now_s), "trial")
+    def record_trial(self, content, admission):
+        """Record that the trial of an Admission has not cleared a content."""
+        now_s = self._loop.time()
+        self._tell(self._quarantine.record_trial(content, admission, now_s), "trial")
 
     def record_crash(self, content, target):
         """Record that a target crashed while it ran a request of this VM.
--- a/sesamespring/routing/quarantine.py
+++ b/sesamespring/routing/quarantine.py
@@ -94,11 +94,17 @@
         trial: Number of the trial that the request was chosen for; None if its content
             was not quarantined.
         until_s: Time until which the trial may begin.
+        clearances: How often the content had been cleared when the trial was reserved.
     """
 
     admitted: bool
     trial: int | None = None
     until_s: float = math.inf
+    clearances: int = 0
+
+    def is_for(self, record):
+        """Return whether a CrashRecord has not changed since the trial was reserved."""
+        return self.trial == record.trials and self.clearances == record.clearances
 
 
 class Quarantine:
@@ -159,11 +165,16 @@
         if not self.is_quarantined(content):
             return True
         record = self._records[content]
-        return admission.trial == record.trials and now_s < admission.until_s
+        return admission.is_for(record) and now_s < admission.until_s
 
-    def record_trial(self, content, now_s):
-        """Record that a trial of a content has not cleared it."""
-        known = self._records[content]
+    def record_trial(self, content, admission, now_s):
+        """Record that a trial of a content has not cleared it.
+
+        A trial from before a clearance says nothing of the crashes since then.
+        """
+        known = self._records.get(content)
+        if known is None or not admission.is_for(known):
+            return None
         trials = known.trials + 1
         return self._put(attrs.evolve(known, trials=trials, changed_s=now_s))
 
--- a/tests/routing/test_quarantine.py
+++ b/tests/routing/test_quarantine.py
@@ -36,14 +36,20 @@
     return quarantine
 
 
+def admission_for(record, now_s):
+    """Return the Admission of the request for which a trial was reserved."""
+    until_s = now_s + RESERVATION_S
+    return Admission(True, record.trials, until_s, record.clearances)
+
+
 def run_trial(quarantine, now_s):
     """Return whether a request is sent at a time, as a trial that fails."""
     record = quarantine.reserve_trial(CONTENT, now_s)
     if record is None:
         return False
-    admission = Admission(True, record.trials, now_s + RESERVATION_S)
+    admission = admission_for(record, now_s)
     assert quarantine.permits(CONTENT, admission, now_s)
-    quarantine.record_trial(CONTENT, now_s)
+    quarantine.record_trial(CONTENT, admission, now_s)
     return True
 
 
@@ -102,13 +108,32 @@
 def test_permission_for_a_trial_is_void_after_its_time_and_after_another_trial():
     quarantine = quarantined()
     record = quarantine.reserve_trial(CONTENT, 2.0)
-    admission = Admission(True, record.trials, 2.0 + RESERVATION_S)
+    admission = admission_for(record, 2.0)
     assert not quarantine.permits(CONTENT, admission, 2.0 + RESERVATION_S)
     assert quarantine.permits(CONTENT, admission, 2.1)
-    quarantine.record_trial(CONTENT, 2.1)
+    quarantine.record_trial(CONTENT, admission, 2.1)
     assert not quarantine.permits(CONTENT, admission, 2.2)
 
 
+def test_trial_that_ends_after_a_clearance_says_nothing_of_the_next_quarantine():
+    quarantine = quarantined()
+    admission = admission_for(quarantine.reserve_trial(CONTENT, 2.0), 2.0)
+    quarantine.record_completion(CONTENT, 2.1)
+    assert quarantine.record_trial(CONTENT, admission, 2.2) is None
+    for number in range(CRASHES_MAX):
+        quarantine.record_crash(CONTENT, key(10 + number), 2.3)
+    assert not quarantine.permits(CONTENT, admission, 2.4)
+    assert quarantine.record_trial(CONTENT, admission, 2.5) is None
+    assert quarantine.retry_after_s(CONTENT, 2.5) < FIRST_TRIAL_DELAY_S
+
+
+def test_trial_that_ends_when_its_record_is_forgotten_is_not_recorded():
+    quarantine = quarantined()
+    admission = admission_for(quarantine.reserve_trial(CONTENT, 2.0), 2.0)
+    quarantine.drop_expired(MEMORY_S + HOUR_S)
+    assert quarantine.record_trial(CONTENT, admission, MEMORY_S + HOUR_S) is None
+
+
 def test_request_that_waited_when_its_content_was_quarantined_is_not_permitted():
     assert not quarantined().permits(CONTENT, Admission(True), 0.0)
 
