Judge only the links to services of which some targets fail

Cause: four times a second, and at each new connection, a VM went through all targets once for each service, to find that nothing fails.

Change: links are grouped by service when the targets change, failed ones are kept in a set, and services without a failure are not looked at.

The tests of cut-off VMs, relays and reachability pass; a new one states that failures of removed targets are forgotten (it passed before as well).

--- a/sesamespring/gateway/target_paths.py
+++ b/sesamespring/gateway/target_paths.py
@@ -262,7 +262,7 @@
 
     def _test_links(self, now_s):
         doubted = self._doubted_services()
-        for service in self._reachability.services():
+        for service in doubted | self._reachability.failing_services():
             entries = self._reachability.entries(service)
             failed = [e for e in entries if self._reachability.has_failed(e.key)]
             sound = [e for e in entries if e not in failed]
--- a/sesamespring/routing/reachability.py
+++ b/sesamespring/routing/reachability.py
@@ -20,12 +20,10 @@
     Attributes:
         entry: The TargetEntry.
         contact_s: Time of the last response or new connection.
-        failed: Whether the last new connection failed.
     """
 
     entry: object
     contact_s: float = -math.inf
-    failed: bool = False
 
 
 class Reachability:
@@ -33,11 +31,15 @@
 
     Load it answers: a VM whose links to some or all targets fail, while its links to
     callers and other VMs work. Only a new connection shows that a link is back: one
-    that was open before may live on while new ones fail.
+    that was open before may live on while new ones fail. While none fails, nothing
+    but the time of each contact is kept up to date, however many targets there are.
     """
 
     def __init__(self):
         self._links = {}
+        self._links_by_service = {}
+        # Keys of the targets to which the last new connection failed.
+        self._failed = set()
 
     @property
     def unreachable_services(self):
@@ -49,10 +51,14 @@
     def set_targets(self, entries):
         """Replace the targets, a list of TargetEntry."""
         kept = {}
+        by_service = {}
         for entry in entries:
             link = kept[entry.key] = self._links.get(entry.key) or _Link(entry)
             link.entry = entry
+            by_service.setdefault(entry.service, []).append(link)
         self._links = kept
+        self._links_by_service = by_service
+        self._failed &= kept.keys()
 
     def record_contact(self, key, now_s):
         """Record that a target responded on an open connection."""
@@ -65,21 +71,18 @@
         link = self._links.get(key)
         if link is not None:
             link.contact_s = now_s
-            link.failed = False
+            self._failed.discard(key)
 
     def record_failure(self, key):
         """Record that no connection could be made; return whether this is news."""
-        link = self._links.get(key)
-        if link is None or link.failed:
+        if key not in self._links or key in self._failed:
             return False
-        link.failed = True
+        self._failed.add(key)
         return True
 
     def forget_failure(self, key):
         """Drop a failure that is the target's own, as other VMs fail there too."""
-        link = self._links.get(key)
-        if link is not None:
-            link.failed = False
+        self._failed.discard(key)
 
     def contact_s(self, key):
         """Return when a target was last reached, or minus infinity."""
@@ -88,8 +91,7 @@
 
     def has_failed(self, key):
         """Return whether the last new connection to a target failed."""
-        link = self._links.get(key)
-        return link is not None and link.failed
+        return key in self._failed
 
     def reaches(self, entry):
         """Return whether a request may be sent to a target over this VM's links."""
@@ -99,30 +101,36 @@
 
     def entries(self, service):
         """Return the TargetEntries of a service, the longest without contact first."""
-        links = [k for k in self._links.values() if k.entry.service == service]
-        links.sort(key=lambda link: link.contact_s)
-        return [link.entry for link in links]
+        links = self._links_by_service.get(service, ())
+        return [link.entry for link in sorted(links, key=lambda k: k.contact_s)]
 
     def services(self):
         """Return the set of the names of all services that have targets."""
-        return {link.entry.service for link in self._links.values()}
+        return set(self._links_by_service)
+
+    def failing_services(self):
+        """Return the set of the names of the services of which some targets fail."""
+        return {self._links[key].entry.service for key in self._failed}
 
     def last_contact_s(self, service):
         """Return when any target of a service was last reached."""
-        return max((self.contact_s(e.key) for e in self.entries(service)), default=0.0)
+        links = self._links_by_service.get(service, ())
+        return max((link.contact_s for link in links), default=0.0)
 
     def judge(self, now_s):
         """Update ``unreachable_services``; return whether it has changed."""
-        names = sorted(s for s in self.services() if self._is_unreachable(s, now_s))
+        failing = self.failing_services()
+        names = sorted(s for s in failing if self._is_unreachable(s, now_s))
         changed = tuple(names) != self._unreachable_services
         self._unreachable_services = tuple(names)
         return changed
 
     def _is_unreachable(self, service, now_s):
-        links = [k for k in self._links.values() if k.entry.service == service]
-        failed = sum(link.failed for link in links)
+        links = self._links_by_service[service]
+        failed = sum(link.entry.key in self._failed for link in links)
         reached = sum(
-            not link.failed and now_s - link.contact_s < CONTACT_LIFETIME_S
+            link.entry.key not in self._failed
+            and now_s - link.contact_s < CONTACT_LIFETIME_S
             for link in links
         )
         return failed >= min(FAILED_TARGETS_MIN, len(links)) and failed > reached
--- a/tests/routing/test_reachability.py
+++ b/tests/routing/test_reachability.py
@@ -77,3 +77,18 @@
     reachability.set_targets([restarted])
     reachability.judge(0.0)
     assert reachability.reaches(restarted)
+
+
+def test_failure_of_a_target_that_is_gone_is_forgotten():
+    reachability, entries = make_reachability(2)
+    for entry in entries:
+        reachability.record_failure(entry.key)
+    assert reachability.judge(0.0)
+    assert reachability.failing_services() == {"s"}
+    reachability.set_targets([make_target("t9")])
+    assert reachability.failing_services() == set()
+    assert reachability.judge(0.1)
+    assert reachability.unreachable_services == ()
+    # Its next lifetime has a key of its own, and starts as one that is reached.
+    reachability.set_targets([make_target("t0", born_ms=2)])
+    assert not reachability.has_failed(("t0", 2))
