Do not send a rejected request on for a caller that has left

Cause: a non-idempotent request goes on at its target when its caller leaves, as its outcome may still be asked for, but the leaving was not remembered.

Change: the forwarder remembers it, and ends with caller-gone where it would send again.

Test: a new one of test_forwarding.py, 2 arrivals before, 1 now; the stand-in target takes a time to reject with.

--- a/sesamespring/gateway/forwarding.py
+++ b/sesamespring/gateway/forwarding.py
@@ -66,6 +66,7 @@
         self._outgoing = None
         self._slot_request = None
         self._tasks = {}
+        self._caller_gone = False
         self._admission = ContentAdmission(self._report, context)
         self._history = AttemptHistory()
 
@@ -169,6 +170,7 @@
             elif message is CALLER_DISCONNECTED:
                 # A non-idempotent request that is in progress is completed: the caller
                 # may still find out its outcome.
+                self._caller_gone = True
                 if self._route.idempotent or not self._tasks:
                     self._report.finished(0, "caller-gone")
                     return
@@ -274,6 +276,9 @@
         """
         if self._tasks:
             return False
+        if self._caller_gone:
+            self._report.finished(0, "caller-gone")
+            return True
         outcome = result.end.outcome
         request = self._slot_request.request
         if outcome in (Outcome.NOT_SENT, Outcome.REJECTED, Outcome.MISDIRECTED):
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -94,6 +94,7 @@
             the text of a decimal number, or None.
         busy_s: If not None, it rejects each request with 503 and states that it wants
             none for so many seconds.
+        reject_delay_s: Time that it takes to reject a request, in seconds.
         health_checks: List of the times at which health checks arrived, on the
             monotonic clock.
         checked_by: List of the IP addresses of the VMs that sent them.
@@ -122,6 +123,7 @@
         self.leaving = False
         self.limit_per_s = None
         self.busy_s = None
+        self.reject_delay_s = 0.0
         self.health_checks = []
         self.checked_by = []
         self.endless = False
@@ -202,6 +204,7 @@
         if not accepted:
             self.overrun += 1
             await _read_body(reader, request_headers)
+            await asyncio.sleep(self.reject_delay_s)
             headers = {
                 "Sesamespring-Not-Executed": "1",
                 "Sesamespring-Request-Id": request_id,
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -266,6 +266,26 @@
     run_scenario(scenario, work_s=1.0)
 
 
+def test_rejected_request_of_a_caller_that_has_left_is_not_sent_again():
+    async def scenario(cluster):
+        for target in cluster.targets:
+            target.slots = 0
+            target.reject_delay_s = 0.2
+        _, writer = await asyncio.open_connection(cluster.ips[0], CALLERS_PORT)
+        headers = {
+            "Host": HOST,
+            "Sesamespring-Request-Id": "r1",
+            "Sesamespring-Deadline-Ms": "1500",
+        }
+        writer.write(request_bytes("/write/1", headers=headers))
+        await asyncio.sleep(0.1)
+        writer.transport.abort()
+        await asyncio.sleep(0.6)
+        assert sum(len(target.arrivals) for target in cluster.targets) == 1
+
+    run_scenario(scenario)
+
+
 def test_early_answer_to_an_upload_is_passed_on():
     async def scenario(cluster):
         for target in cluster.targets:
