Keep to a Retry-After of any length, and log headers that cannot be read

Change: a number that a float holds counts, up to REQUESTED_BACKOFF_MAX_S. What cannot be read (negative, text, dates) is ignored with header-malformed and a counter; requested backoffs and targets that state that they leave have counters too.

Tests: new ones of tests/platform/test_headers.py; a Retry-After of twenty digits gave no backoff before and gives one now.

--- a/sesamespring/gateway/attempt.py
+++ b/sesamespring/gateway/attempt.py
@@ -287,6 +287,7 @@
         if metadata.misdirected:
             return
         self._availability.record_leaving(self._entry, metadata)
+        self._availability.record_malformed(self._entry, metadata)
         if self._relay is None and metadata.not_run:
             self._availability.record_backoff(self._entry, metadata)
 
--- a/sesamespring/gateway/daemon.py
+++ b/sesamespring/gateway/daemon.py
@@ -100,7 +100,9 @@
         self._cluster_state = ClusterState(self._log, self._cluster_state_changed)
         self._store = StoreClient(settings.store_address, STORE_TIMEOUT_S)
         self._limits = TargetLimits(self._counters, self._log)
-        self._availability = TargetAvailability(self._cluster_state, self._log)
+        self._availability = TargetAvailability(
+            self._cluster_state, self._counters, self._log
+        )
         self._quarantine = RequestQuarantine(self._counters, self._log)
         self._quarantine_rows = QuarantineRows(self._store, self._quarantine, self._log)
         self._quarantine.on_changed = self._quarantine_rows.record_changed
--- a/sesamespring/gateway/prober.py
+++ b/sesamespring/gateway/prober.py
@@ -107,6 +107,7 @@
                 self._limits.record_response(key, metadata.limit_per_s)
                 self._availability.record_backoff(state.entry, metadata)
                 self._availability.record_leaving(state.entry, metadata)
+                self._availability.record_malformed(state.entry, metadata)
                 runner.scheduler.record_load(
                     key, metadata.load, metadata.cold_left_s, now_s
                 )
--- a/sesamespring/gateway/target_availability.py
+++ b/sesamespring/gateway/target_availability.py
@@ -22,6 +22,7 @@
 
     Args:
         cluster_state: The ClusterState.
+        counters: The Counters.
         log: The EventLog.
 
     Attributes:
@@ -29,9 +30,10 @@
             shown that a target is leaving, which other VMs do not know yet.
     """
 
-    def __init__(self, cluster_state, log):
+    def __init__(self, cluster_state, counters, log):
         self.on_news = lambda: None
         self._cluster_state = cluster_state
+        self._counters = counters
         self._log = log
         self._backoffs = RequestedBackoffs()
         self._leaving_s = {}
@@ -72,6 +74,7 @@
         if metadata.backoff_s is None:
             return
         self._backoffs.record(entry.key, metadata.backoff_s, self._loop.time())
+        self._counters.add("requested_backoffs")
         self._log.event(
             "target-requests-backoff",
             target=entry.id,
@@ -89,6 +92,23 @@
         if metadata.leaving and self._mark_leaving(entry.key, "response"):
             self.on_news()
 
+    def record_malformed(self, entry, metadata):
+        """Log the headers of a target that cannot be read, and so do not bind this VM.
+
+        Args:
+            entry: The TargetEntry.
+            metadata: The ResponseMetadata.
+        """
+        for header in metadata.malformed:
+            self._counters.add("malformed_headers")
+            self._log.event(
+                "header-malformed",
+                target=entry.id,
+                service=entry.service,
+                header=header.name,
+                value=header.value,
+            )
+
     def record_heartbeat(self, lifetimes, peer):
         """Record the targets that another VM knows to be leaving.
 
@@ -118,5 +138,6 @@
         """Return whether it is news that a target is leaving."""
         if not self._cluster_state.mark_leaving(key, source):
             return False
+        self._counters.add("targets_stating_leaving")
         self._leaving_s[key] = self._loop.time()
         return True
--- a/sesamespring/platform/headers.py
+++ b/sesamespring/platform/headers.py
@@ -9,6 +9,8 @@
 from sesamespring.routing.request_limits import NO_LIMIT
 
 __all__ = [
+    "MALFORMED_VALUE_MAX",
+    "MalformedHeader",
     "ResponseMetadata",
     "local_response_headers",
     "parse_response_headers",
@@ -38,10 +40,27 @@
 NORMAL_SLOWDOWN_PERCENT = 100
 TIMEOUT_MS_MAX = 3_600_000
 SLOWDOWN_MAX = 1000.0
+# Characters of a malformed header that are kept for the log.
+MALFORMED_VALUE_MAX = 40
 _DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{0,20})?")
+# Of any length that a float holds, as a target may ask for any time.
+_SECONDS = re.compile(rb"[0-9]{1,40}(\.[0-9]{0,20})?")
 _REPLACED_HEADERS = frozenset({TIMEOUT_MS, EXPECTED_TARGET})
 
 
+@attrs.frozen
+class MalformedHeader:
+    """A header whose value cannot be read and is ignored.
+
+    Attributes:
+        name: Its name in lower case.
+        value: The start of its value, up to ``MALFORMED_VALUE_MAX`` characters.
+    """
+
+    name: str
+    value: str
+
+
 @attrs.frozen
 class ResponseMetadata:
     """Metadata of a target's response.
@@ -62,6 +81,7 @@
         leaving: Whether the target states that it is leaving.
         backoff_s: For how long the target asks this VM to back off, in seconds, or
             None if it does not ask for it.
+        malformed: Tuple of the MalformedHeaders among those that bind this VM.
     """
 
     request_id: bytes | None
@@ -76,6 +96,7 @@
     limit_per_s: float | None
     leaving: bool = False
     backoff_s: float | None = None
+    malformed: tuple = ()
 
 
 def read_request_id(headers):
@@ -140,7 +161,15 @@
     misdirected = status == MISDIRECTED
     target_id = fields.get(TARGET_ID)
     cold_left_ms = _digits(fields.get(COLD_LEFT_MS))
-    rejects = status in REJECTING_STATUSES
+    limit = fields.get(LIMIT_PER_S)
+    limit_per_s = _read_limit(limit)
+    backoff = fields.get(RETRY_AFTER_S) if status in REJECTING_STATUSES else None
+    backoff_s = _read_backoff(backoff)
+    malformed = []
+    if limit_per_s is None:
+        malformed.append(_malformed(LIMIT_PER_S, limit))
+    if backoff is not None and backoff_s is None:
+        malformed.append(_malformed(RETRY_AFTER_S, backoff))
     return ResponseMetadata(
         request_id=fields.get(REQUEST_ID),
         signed=SIGNATURE in fields,
@@ -151,9 +180,10 @@
         load=_read_load(fields.get(LOAD)),
         cold_left_s=None if cold_left_ms is None else cold_left_ms / 1000,
         idle_s=_read_idle(fields.get(b"keep-alive")),
-        limit_per_s=_read_limit(fields.get(LIMIT_PER_S)),
+        limit_per_s=limit_per_s,
         leaving=fields.get(LEAVING, b"").strip() == b"1",
-        backoff_s=_read_backoff(fields.get(RETRY_AFTER_S)) if rejects else None,
+        backoff_s=backoff_s,
+        malformed=tuple(malformed),
     )
 
 
@@ -203,11 +233,16 @@
     >>> _read_backoff(b"Fri, 04 Dec 2026 10:00:00 GMT") is None
     True
     """
-    if raw is None or not _DECIMAL.fullmatch(raw.strip()):
+    if raw is None or not _SECONDS.fullmatch(raw.strip()):
         return None
     return float(raw)
 
 
+def _malformed(name, raw):
+    value = raw[:MALFORMED_VALUE_MAX].decode("latin-1")
+    return MalformedHeader(name.decode(), value)
+
+
 def _digits(raw):
     """Return a number of up to nine decimal digits, or None."""
     if raw is None or not raw.isdigit() or len(raw) > 9:
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -1,9 +1,12 @@
 """Test the parsing and building of headers, also with malformed values."""
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from sesamespring.platform.headers import (
+    MALFORMED_VALUE_MAX,
+    MalformedHeader,
     local_response_headers,
     parse_response_headers,
     read_request_id,
@@ -77,3 +80,27 @@
     forwarded = target_request_headers(headers, "i-1", 1.0)
     names = [name for name, _ in forwarded]
     assert names.count(b"sesamespring-deadline-ms") == 1
+
+
+@pytest.mark.parametrize(
+    ("raw", "backoff_s", "malformed"),
+    [
+        (b"2.5", 2.5, ()),
+        (b"99999999999999999999", 1e20, ()),
+        (b"-3", None, ("retry-after",)),
+        (b"soon", None, ("retry-after",)),
+        (b"Fri, 04 Dec 2026 10:00:00 GMT", None, ("retry-after",)),
+        (b"9" * 400, None, ("retry-after",)),
+    ],
+)
+def test_backoff_is_read_and_nonsense_is_named(raw, backoff_s, malformed):
+    metadata = parse_response_headers(503, [(b"retry-after", raw)])
+    assert metadata.backoff_s == backoff_s
+    assert tuple(field.name for field in metadata.malformed) == malformed
+    assert all(len(field.value) <= MALFORMED_VALUE_MAX for field in metadata.malformed)
+
+
+def test_limit_that_cannot_be_read_is_named():
+    metadata = parse_response_headers(200, [(b"server-limit", b"many")])
+    assert metadata.limit_per_s is None
+    assert metadata.malformed == (MalformedHeader("server-limit", "many"),)
