Let the soak play limits, endless responses and a restored store

Change: faults limit_requests, respond_endlessly and restore_store, last in the list; the operator and the targets write again what the store has lost. The check 'limit' counts what a target got, health checks too, in windows of 4 s. Callers read bodies in chunks, as a body without end is passed on so.

--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -73,6 +73,7 @@
         alive: Whether it is running.
         states_leaving_since_s: Time from which its responses say that it is leaving,
             or None.
+        limits: List of LimitedPeriod.
     """
 
     service: str
@@ -84,6 +85,7 @@
     cold_until_s: float = 0.0
     alive: bool = True
     states_leaving_since_s: float | None = None
+    limits: list = attrs.field(factory=list)
 
     @property
     def name(self):
@@ -91,6 +93,21 @@
         return self.server.id
 
 
+@attrs.define(eq=False)
+class LimitedPeriod:
+    """A period in which a target states a limit in its responses.
+
+    Attributes:
+        per_s: The limit, in requests per second from all VMs together.
+        since_s: Time at which it began.
+        until_s: Time at which it ended.
+    """
+
+    per_s: float
+    since_s: float
+    until_s: float = float("inf")
+
+
 @attrs.define(eq=False)
 class LostLinks:
     """A period in which VMs were cut off from all targets.
@@ -266,6 +283,27 @@
         evacuation.until_s = asyncio.get_running_loop().time()
         await self.store.delete("op", f"evacuate/{evacuation.data_centre}")
 
+    async def restore_store(self, copy):
+        """Let the store come back from a StoreCopy.
+
+        The operator and the targets write again what they have written since.
+        """
+        await self.store.restore(copy)
+        version, _ = self.configurations[-1]
+        await self.store.put("op", "config", _configuration(version))
+        closed = {e.data_centre for e in self.evacuations if e.until_s == float("inf")}
+        for name in DATA_CENTRES:
+            if name in closed:
+                await self.store.put("op", f"evacuate/{name}", {})
+            else:
+                await self.store.delete("op", f"evacuate/{name}")
+        for target in self.targets:
+            heartbeats = self._heartbeats.get(target.name)
+            if heartbeats is None or heartbeats.done():
+                await self.store.delete("servers", target.name)
+            elif target.alive:
+                await self._register(target, 1)
+
     async def start_target(self, service, address_index, cold_s=0.0):
         """Start a target, register it and return its SoakTarget.
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,7 +6,14 @@
 import signal
 import time
 
-from soak.cluster import COLD_START_S, DATA_CENTRES, POLL_S, SERVICES, LostLinks
+from soak.cluster import (
+    COLD_START_S,
+    DATA_CENTRES,
+    POLL_S,
+    SERVICES,
+    LimitedPeriod,
+    LostLinks,
+)
 from soak.link import Direction
 from soak.load import FATAL_PREFIX
 from soak.promises import LINKS_LOST
@@ -44,6 +51,12 @@
 LOST_LINKS_MIN_S = 5.0
 BACKOFF_S = (1.0, 3.0)
 REJECTING_S_MAX = 1.0
+LIMITS_PER_S = (1.0, 2.5, 5.0)
+# Long enough for a window in which the limit has to be kept.
+LIMITED_MIN_S = 8.0
+ENDLESS_FAULTS = ("endless-head", "endless-body")
+RESTORED_CHANGES_MAX = 3
+RESTORED_AWAY_S = 0.5
 
 
 class Faults:
@@ -274,6 +287,47 @@
             await asyncio.sleep(DRAINING_RUN_S + for_s)
             await self._replace_left(target)
 
+    async def limit_requests(self, for_s):
+        """Let a target state a limit in its responses."""
+        target = await self._choose_running_target()
+        if target.server.limit_per_s is not None:
+            return
+        limited = LimitedPeriod(self._random.choice(LIMITS_PER_S), time.monotonic())
+        target.limits.append(limited)
+        target.server.limit_per_s = str(limited.per_s)
+        await asyncio.sleep(LIMITED_MIN_S + for_s)
+        limited.until_s = time.monotonic()
+        target.server.limit_per_s = None
+
+    async def respond_endlessly(self, for_s):
+        """Let a share of a target's responses, and its health checks, never end."""
+        target = await self._choose_running_target()
+
+        def choose_fault(received):
+            if self._random.random() < RESPONSE_FAULT_SHARE:
+                return self._random.choice(ENDLESS_FAULTS)
+            return None
+
+        with self._cluster.record_disturbance(target.name, "responds without end"):
+            target.server.choose_fault = choose_fault
+            target.server.endless = True
+            await asyncio.sleep(for_s)
+            target.server.choose_fault = lambda received: None
+            target.server.endless = False
+
+    async def restore_store(self, for_s):
+        """Let the store come back from a copy, after changes that it has lost."""
+        cluster = self._cluster
+        with cluster.record_store_disturbance("restored"):
+            copy = cluster.store.copy()
+            for _ in range(self._random.randint(0, RESTORED_CHANGES_MAX)):
+                await cluster.put_configuration()
+            await asyncio.sleep(for_s)
+            cluster.store.faults.away = True
+            await asyncio.sleep(RESTORED_AWAY_S)
+            cluster.store.faults.away = False
+            await cluster.restore_store(copy)
+
     async def _replace_left(self, target):
         if not target.alive:
             # A request has ended it meanwhile, and it is being replaced.
--- a/soak/load.py
+++ b/soak/load.py
@@ -193,5 +193,17 @@
     for line in lines[1:]:
         name, _, value = line.partition(":")
         headers[name.lower()] = value.strip()
+    status = int(lines[0].split(" ")[1])
+    if headers.get("transfer-encoding") == "chunked":
+        return status, headers, await _read_chunks(reader)
     length = int(headers.get("content-length", 0))
-    return int(lines[0].split(" ")[1]), headers, await reader.readexactly(length)
+    return status, headers, await reader.readexactly(length)
+
+
+async def _read_chunks(reader):
+    """Read a body in chunks and return it."""
+    body = b""
+    while length := int(await reader.readuntil(b"\r\n"), 16):
+        body += (await reader.readexactly(length + 2))[:-2]
+    await reader.readuntil(b"\r\n")
+    return body
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -46,6 +46,12 @@
 # What a target may get from a VM that it has asked to back off, after the start of it.
 BACKOFF_START_S = 0.5
 BACKOFF_REQUESTS_MAX = 2
+# A target that states a limit may get LIMIT_RATIO times as much in a window, and
+# LIMIT_SLACK requests more, in windows that end LIMIT_SETTLE_S after the statement.
+LIMIT_WINDOW_S = 4.0
+LIMIT_SETTLE_S = 5.0
+LIMIT_RATIO = 1.5
+LIMIT_SLACK = 5
 # Minimum share of successful requests after all faults have ended.
 RECOVERED_SHARE = 0.95
 # The kind of disturbance that is a graceful stop by SIGTERM.
@@ -89,6 +95,7 @@
     breaches += _check_lost_links(cluster, load.calls)
     breaches += _check_requested_backoffs(cluster)
     breaches += _check_stated_leaving(cluster)
+    breaches += _check_limits(cluster)
     return breaches
 
 
@@ -408,6 +415,28 @@
     return breaches
 
 
+def _check_limits(cluster):
+    """Return Breaches for targets that got more than the limit that they stated.
+
+    A target whose responses are disturbed may not have told of it.
+    """
+    breaches = []
+    for target in cluster.targets:
+        server = target.server
+        times = sorted([a.at_s for a in server.arrivals] + server.health_checks)
+        for limited in target.limits:
+            first_s = limited.since_s + LIMIT_SETTLE_S - LIMIT_WINDOW_S
+            during = [at_s for at_s in times if first_s <= at_s < limited.until_s]
+            most = _max_in_window(during, LIMIT_WINDOW_S)
+            allowed = LIMIT_RATIO * limited.per_s * LIMIT_WINDOW_S + LIMIT_SLACK
+            if most > allowed and cluster.disturbances.is_undisturbed(
+                target.name, limited.since_s, limited.until_s
+            ):
+                detail = f"{target.name}: {most} in a window, limit {limited}"
+                breaches.append(Breach("limit", detail))
+    return breaches
+
+
 def _store_and_vm_undisturbed(cluster, vm, from_s, to_s):
     """Return whether neither the store nor a VM was disturbed in a span of time."""
     disturbances = cluster.disturbances
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from soak.cluster import Evacuation, FatalRun, LostLinks
+from soak.cluster import Evacuation, FatalRun, LimitedPeriod, LostLinks
 from soak.disturbances import STORE, DisturbanceLog
 from soak.load import Call
 from soak.promises import check_promises, check_recovery
@@ -12,7 +12,7 @@
 
 
 def target(name="t1", **fields):
-    server = types.SimpleNamespace(id=name, arrivals=[])
+    server = types.SimpleNamespace(id=name, arrivals=[], health_checks=[])
     defaults = {
         "name": name,
         "service": "orders",
@@ -21,6 +21,7 @@
         "draining_since_s": None,
         "cold_until_s": 0.0,
         "states_leaving_since_s": None,
+        "limits": [],
     }
     return types.SimpleNamespace(**{**defaults, **fields})
 
@@ -213,3 +214,20 @@
     assert "stated-leaving" in broken_promises(faulty_cluster, *calls)
     faulty_cluster.disturbances.begin("vm-0", "paused").start_s = 6.0
     assert "stated-leaving" not in broken_promises(faulty_cluster, *calls)
+
+
+def test_detects_more_requests_than_the_limit_that_a_target_states():
+    fake_target = target(limits=[LimitedPeriod(1.0, 10.0, 20.0)])
+    # Windows that end sooner than 5 s after the statement do not count.
+    early = [10.1 + number / 100 for number in range(20)]
+    late = [15.0 + number / 10 for number in range(12)]
+    for number, at_s in enumerate(early + late[:11]):
+        arrival = Arrival(at_s, f"r{number}", True, "ip-0")
+        fake_target.server.arrivals.append(arrival)
+    assert "limit" not in broken_promises(cluster(fake_target), call("r0"))
+    # Health checks count as well.
+    fake_target.server.health_checks.append(late[11])
+    faulty_cluster = cluster(fake_target)
+    assert "limit" in broken_promises(faulty_cluster, call("r0"))
+    faulty_cluster.disturbances.begin("t1", "garbles").start_s = 12.0
+    assert "limit" not in broken_promises(faulty_cluster, call("r0"))
