Compare the states of VMs without copying them

Cause: after each change of a VM's state, and at each own heartbeat, a VM copied all others' Members twice, to compare them without the fields that each heartbeat changes.

Change: the fields that last are read as a tuple.

--- a/sesamespring/gateway/peers.py
+++ b/sesamespring/gateway/peers.py
@@ -3,13 +3,14 @@
 import asyncio
 import contextlib
 import json
+import operator
 import time
 
 import attrs
 
 from sesamespring.errors import ExternalError
 from sesamespring.gateway.generated.ttypes import Heartbeat, KnownVms
-from sesamespring.platform.rows import ABSENT_VERSION, UNKNOWN_ERA
+from sesamespring.platform.rows import ABSENT_VERSION
 from sesamespring.routing.membership import (
     HEARTBEAT_INTERVAL_S,
     MEMBER_EXPIRY_S,
@@ -26,6 +27,19 @@
 REGISTER_RETRY_DELAY_S = 1.0
 # To a VM that has been silent for this long, heartbeats are sent only at this interval.
 SILENT_HEARTBEAT_INTERVAL_S = 4.0
+# Fields of a Member that most heartbeats change.
+CHANGING_FIELDS = frozenset(
+    {
+        "sequence",
+        "operator_version",
+        "targets_version",
+        "operator_era",
+        "targets_era",
+    }
+)
+_lasting_fields = operator.attrgetter(
+    *(field.name for field in attrs.fields(Member) if field.name not in CHANGING_FIELDS)
+)
 
 
 class Peers:
@@ -304,18 +318,8 @@
 
 
 def _states(members):
-    """Return the Members by name without the fields that change with each heartbeat."""
-    return {
-        name: attrs.evolve(
-            member,
-            sequence=0,
-            operator_version=0,
-            targets_version=0,
-            operator_era=UNKNOWN_ERA,
-            targets_era=UNKNOWN_ERA,
-        )
-        for name, member in members.items()
-    }
+    """Return the Members' fields by name, but for those that most heartbeats change."""
+    return {name: _lasting_fields(member) for name, member in members.items()}
 
 
 def _address_of(content):
