Update services at most ten times a second for changes of other VMs

Cause: each change of another VM's state, so each first heartbeat and each VM that becomes ready, made a VM rank all VMs for all services and replan: 14 ms at 129 VMs and 20 services, some 250 times while such a deployment starts.

Change: a change that comes alone counts at once, others within 0.1 s together.

Ruled out: that a VM is late to notice a lost decider: its silence takes a second to show, and a VM that decides but falls silent is asked no longer than 60 ms.

Tests: tests/gateway/test_coalesced_call.py; those of faults, planned stops, starts, cut-off VMs and the directory pass (34).

--- a/sesamespring/gateway/daemon.py
+++ b/sesamespring/gateway/daemon.py
@@ -9,6 +9,7 @@
 from sesamespring.errors import UserError
 from sesamespring.gateway.caller_connections import CallerConnections
 from sesamespring.gateway.cluster_state import ClusterState
+from sesamespring.gateway.coalesced_call import CoalescedCall
 from sesamespring.gateway.connection_pool import TargetConnectionPool
 from sesamespring.gateway.context import GatewayContext
 from sesamespring.gateway.counters import Counters
@@ -46,6 +47,8 @@
 STORE_TIMEOUT_S = 0.8
 HOUSEKEEPING_INTERVAL_S = 0.25
 STOP_POLL_INTERVAL_S = 0.05
+# Shortest time between two updates of all services for changes of other VMs.
+PEERS_UPDATE_INTERVAL_S = 0.1
 # Part of the stop timeout that is kept for responses still in progress.
 LAST_RESPONSES_S = 1.0
 DESCRIPTORS_RESERVED = 200
@@ -106,6 +109,7 @@
         self._quarantine = RequestQuarantine(self._counters, self._log)
         self._quarantine_rows = QuarantineRows(self._store, self._quarantine, self._log)
         self._quarantine.on_changed = self._quarantine_rows.record_changed
+        self._peers_changed = CoalescedCall(self._update_peers, PEERS_UPDATE_INTERVAL_S)
         self._peers = Peers(
             settings,
             self._local_state,
@@ -195,6 +199,7 @@
             stack.callback(self._store.close)
             stack.callback(self._table_sync.close)
             stack.callback(self._services.close)
+            stack.callback(self._peers_changed.close)
             await self._listen(stack)
             tasks = await stack.enter_async_context(_cancelled_at_exit())
             for coroutine in self._background_coroutines():
@@ -313,7 +318,7 @@
         self._services.update()
         self._peers.broadcast_heartbeat()
 
-    def _peers_changed(self):
+    def _update_peers(self):
         self._services.update()
         self._slot_server.keep_only({m.address for m in self._peers.alive.values()})
         self._paths.drop_departed_relays()
