Keep the choice of deciding VMs when only targets change

Cause: each change of a target's registration made a VM rank all VMs for all services anew, though the choice depends on the VMs alone.

Change: Services.update_targets for changes of the tables; the choice is made anew when VMs change or this one becomes ready.

Tests of faults, starts, cut-off VMs and a restored store pass.

--- a/sesamespring/gateway/daemon.py
+++ b/sesamespring/gateway/daemon.py
@@ -308,8 +308,10 @@
             routes = self._context.routes
             self._context.routes = RouteTable(configuration.routes, routes)
         self._paths.set_targets(self._cluster_state.entries)
-        self._services.update()
-        if self._ready != self._was_ready:
+        if self._ready == self._was_ready:
+            self._services.update_targets()
+        else:
+            self._services.update()
             self._was_ready = self._ready
             self._log.event("ready", ready=self._ready)
             self._peers.broadcast_heartbeat()
--- a/sesamespring/gateway/services.py
+++ b/sesamespring/gateway/services.py
@@ -80,8 +80,15 @@
         ]
 
     def update(self):
-        """Update all schedulers after a change of the ClusterState or of the VMs."""
+        """Update all schedulers after a change of the VMs, with this one."""
         self._deciders.clear()
+        self.update_targets()
+
+    def update_targets(self):
+        """Update all schedulers after a change of the ClusterState.
+
+        The deciders, which depend on the VMs alone, stay the same.
+        """
         self._vms_for_callers.clear()
         configuration = self._cluster_state.configuration
         if configuration is None:
