Compare a VM without links only while another one has links

Cause: the soak's check lost-links counted requests of a cut-off VM also after all other VMs had lost their links too, and compared them to what the others had served before.

Change: a request counts while a VM that kept its links was undisturbed until its end.

--- a/soak/promises.py
+++ b/soak/promises.py
@@ -336,11 +336,13 @@
 def _check_lost_links(cluster, calls):
     """Return Breaches for VMs without links whose callers are served worse.
 
-    The VMs that they are compared to must have had their links all the while.
+    The VMs that they are compared to must have had their links all the while, and the
+    requests are those sent while there was such a VM.
     """
     breaches = []
     for lost in cluster.lost_links:
         first_s = lost.since_s + LINKS_SETTLE_S
+        kept = [vm.name for vm in cluster.vms if vm.name not in lost.vms]
         during = [
             call
             for call in calls
@@ -354,6 +356,10 @@
                 call.ended_s,
                 without=(LINKS_LOST,) if call.vm in lost.vms else (),
             )
+            and any(
+                cluster.disturbances.is_undisturbed(vm, lost.since_s, call.ended_s)
+                for vm in kept
+            )
         ]
         cut = [call.status == 200 for call in during if call.vm in lost.vms]
         others = [call.status == 200 for call in during if call.vm not in lost.vms]
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -191,6 +191,19 @@
     assert "lost-links" not in broken_promises(faulty_cluster, *calls)
 
 
+def test_vm_without_links_is_not_compared_when_no_other_has_any():
+    lost = LostLinks({"vm-0"}, 5.0, 40.0)
+    before = [call(f"b{n}", vm=f"vm-{n % 2}", sent_s=10.0) for n in range(40)]
+    after = [call(f"a{n}", sent_s=20.0, ended_s=20.1, status=504) for n in range(40)]
+    faulty_cluster = cluster(target(), lost_links=[lost])
+    assert "lost-links" in broken_promises(faulty_cluster, *before, *after)
+    faulty_cluster.disturbances.begin("vm-1", "links lost").start_s = 15.0
+    assert "lost-links" not in broken_promises(faulty_cluster, *before, *after)
+    for failed in before[::2]:
+        failed.status = 504
+    assert "lost-links" in broken_promises(faulty_cluster, *before, *after)
+
+
 def test_detects_requests_at_a_target_that_asked_for_a_backoff():
     fake_target = target()
     fake_target.server.arrivals.append(Arrival(10.0, "r0", False, "ip-0", 2.0))
