End the VMs of a soak whose start has failed

Cause: an asynchronous context manager is not left if entering it fails, so that VMs which had been started when one was not ready in time remained. Seen on the busy machine: three processes of a run that gave up at its start; ended by their ids.

Change: a start that fails leaves the context.

Test: a new one of tests/soak/test_soak.py failed before; it left two processes, ended by id.

--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -215,6 +215,14 @@
         ]
 
     async def __aenter__(self):
+        try:
+            await self._start()
+        except BaseException:
+            await self.__aexit__()
+            raise
+        return self
+
+    async def _start(self):
         store_address = (self._ip(Subnet.STORE), STORE_PORT)
         await self.store.start(*store_address)
         self._stack.callback(self.store.close)
@@ -238,7 +246,6 @@
         async with asyncio.timeout(START_TIMEOUT_S):
             for vm in self.vms:
                 await self.wait_ready(vm)
-        return self
 
     async def __aexit__(self, *exception):
         for task in (*self._heartbeats.values(), *self._replacements):
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from soak import cluster as soak_cluster
 from soak.faults import FAULTS
 from soak.runner import run_soak
 
@@ -29,3 +30,15 @@
     result = asyncio.run(run_soak(seed, seconds, tmp_path, faults=faults))
     assert result.breaches == ()
     assert result.served > 0
+
+
+def test_no_process_remains_after_a_start_that_failed(tmp_path, monkeypatch):
+    monkeypatch.setattr(soak_cluster, "START_TIMEOUT_S", 0)
+    cluster = soak_cluster.Cluster(2, tmp_path)
+
+    async def main():
+        with pytest.raises(TimeoutError):
+            await cluster.__aenter__()
+
+    asyncio.run(main())
+    assert not any(vm.running for vm in cluster.vms)
