State that uploads fail when their target has just ended

Traced in its log: the target had ended, its connection was refused, and the request was not sent to another one, as a body too large to keep never is. Here another VM had been asked to pass it on, but without that the code ends alike.

--- a/tests/gateway/test_cut_off_vms.py
+++ b/tests/gateway/test_cut_off_vms.py
@@ -17,6 +17,8 @@
 LOAD_PER_S = 40
 SERVED_SHARE_MIN = 0.95
 KINDS = ("silent", "reset", "refused")
+# Larger than VMs keep to send it again.
+UPLOAD = b"x" * 1_500_000
 
 
 @attrs.frozen
@@ -161,3 +163,17 @@
         assert cluster.targets[0].cancelled == 0
 
     run_scenario(scenario, vms=2, targets=1, work_s=0.4, slots=4)
+
+
+def test_uploads_are_served_when_some_targets_have_just_ended():
+    async def scenario(cluster):
+        for target in cluster.targets[:3]:
+            target.end()
+        calls = [
+            cluster.call(ip, f"u{n}", path="/write/1", method="POST", body=UPLOAD)
+            for n, ip in enumerate(cluster.ips)
+        ]
+        responses = await asyncio.gather(*calls)
+        assert [response.status for response in responses] == [200] * len(calls)
+
+    run_scenario(scenario, vms=3, targets=6)
