--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -94,6 +94,8 @@
             the text of a decimal number, or None.
         busy_s: If not None, it rejects each request with 503 and states that it wants
             none for so many seconds.
+        sheds: Function without arguments that is called for each request and returns
+            whether to reject it although a slot may be free.
         reject_delay_s: Time that it takes to reject a request, in seconds.
         health_checks: List of the times at which health checks arrived, on the
             monotonic clock.
@@ -123,6 +125,7 @@
         self.leaving = False
         self.limit_per_s = None
         self.busy_s = None
+        self.sheds = lambda: False
         self.reject_delay_s = 0.0
         self.health_checks = []
         self.checked_by = []
@@ -133,6 +136,11 @@
         self._writers = set()
         self._late_copies = {}
 
+    @property
+    def listening(self):
+        """Whether it accepts connections."""
+        return self._server is not None and self._server.is_serving()
+
     async def start(self, host, port):
         """Listen on an address."""
         self._server = await asyncio.start_server(self._serve_connection, host, port)
@@ -191,7 +199,8 @@
         request_id = request_headers["sesamespring-request-id"]
         if writer in self._late_copies:
             await self._send(writer, 200, *self._late_copies.pop(writer))
-        accepted = self._running < self.slots and self.busy_s is None
+        is_free = self._running < self.slots and self.busy_s is None
+        accepted = is_free and not self.sheds()
         self.arrivals.append(
             Arrival(
                 time.monotonic(),
