Read the addresses of VMs also while the store does not take this VM's own

A VM read the others' addresses only after its own row was written. While the store refused writes but served reads (429, 507, a refusal that names no row), a VM that started knew the seeds alone, and a directory whose seeds are stale had no VM to name. A refused write was repeated at once and without end, as long as the refusal named a row whose version did not help or no row, and held the connection that the quarantine's rows share.

Change: the rows are read whether or not the write succeeded, and both are repeated until both succeed; after three refused writes in a row the next ones wait 1 s.

--- a/sesamespring/gateway/address_rows.py
+++ b/sesamespring/gateway/address_rows.py
@@ -1,17 +1,21 @@
 """Find the addresses of VMs in the store, and write this VM's address there."""
 
 import asyncio
+import functools
 import json
 
 from returns.result import Failure
 
-from sesamespring.errors import ExternalError
+from sesamespring.errors import ErrorKind, ExternalError
 from sesamespring.platform.rows import ABSENT_VERSION
 
 __all__ = ["AddressRows"]
 
 VMS_TABLE = "vms"
 REGISTER_RETRY_DELAY_S = 1.0
+# The first write finds out the version of a row of an earlier process. Another process
+# of this VM may replace it before the second one.
+WRITES_AT_ONCE_MAX = 3
 
 
 class AddressRows:
@@ -50,27 +54,42 @@
         while True:
             await self._must_register.wait()
             self._must_register.clear()
-            add_addresses(await self._register())
+            await self._register(add_addresses)
 
-    async def _register(self):
-        """Write this VM's row, and return the addresses in all rows."""
+    async def _register(self, add_addresses):
+        """Write this VM's row and read all rows, until both have succeeded in a row.
+
+        The rows are read also while this VM's cannot be written: without the others a
+        directory has no VM to name.
+        """
         while True:
-            try:
-                await self._write()
-                table = await self._store.read_table(VMS_TABLE)
-                return [_address_of(row.content) for row in table.rows]
-            except ExternalError as error:
-                self._log.event("registration-failed", error=error)
+            written = await self._succeeds(self._write)
+            found = await self._succeeds(functools.partial(self._read, add_addresses))
+            if written and found:
+                return
             await asyncio.sleep(REGISTER_RETRY_DELAY_S)
 
+    async def _succeeds(self, call):
+        try:
+            await call()
+            return True
+        except ExternalError as error:
+            self._log.event("registration-failed", error=error)
+            return False
+
+    async def _read(self, add_addresses):
+        table = await self._store.read_table(VMS_TABLE)
+        add_addresses([_address_of(row.content) for row in table.rows])
+
     async def _write(self):
         """Write this VM's row unless it is there.
 
         Raises:
-            ExternalError: The store does not respond.
+            ExternalError: The store does not respond, or refuses the write although it
+                has the version that the store has stated.
         """
         version = ABSENT_VERSION
-        while True:
+        for _ in range(WRITES_AT_ONCE_MAX):
             result = await self._store.write(
                 VMS_TABLE, self._name, self._content, version
             )
@@ -80,6 +99,7 @@
             if rows and rows[0].content == self._content:
                 return
             version = rows[0].version if rows else ABSENT_VERSION
+        raise ExternalError(ErrorKind.PLATFORM_AWAY, "write is refused again and again")
 
 
 def _address_of(content):
--- a/tests/gateway/test_address_rows.py
+++ b/tests/gateway/test_address_rows.py
@@ -21,15 +21,26 @@
 
 @attrs.define
 class Store:
-    """A fake of the StoreClient with one table; ``failures`` calls get no answer."""
+    """A fake of the StoreClient with one table.
+
+    ``failures`` calls get no answer, and ``refusals`` writes a refusal that names no
+    row. With ``read_only``, no write gets an answer.
+    """
 
     rows: dict = attrs.field(factory=dict)
     version: int = 0
     calls: list = attrs.field(factory=list)
     failures: int = 0
+    refusals: int = 0
+    read_only: bool = False
 
     async def write(self, table, key, content, expected_version):
         await self._call("write")
+        if self.read_only:
+            raise ExternalError(ErrorKind.PLATFORM_AWAY, "unexpected status 429")
+        if self.refusals:
+            self.refusals -= 1
+            return Failure(RowConflict(()))
         row = self.rows.get(key)
         if expected_version != (row.version if row else ABSENT_VERSION):
             return Failure(RowConflict((row,) if row else ()))
@@ -61,8 +72,14 @@
     return json.dumps({"ip": ip, "port": port}).encode()
 
 
-def register(store, *names):
-    """Let VMs register at the same time, and return what each found, by name."""
+def register(store, *names, written=True):
+    """Let VMs register at the same time, and return what each found, by name.
+
+    Args:
+        store: The Store.
+        names: Names of the VMs.
+        written: Whether to wait until each has found its own row.
+    """
     found = {}
     log = types.SimpleNamespace(event=lambda event, **fields: None)
 
@@ -74,7 +91,8 @@
 
         def add_addresses(addresses):
             found[name] = set(addresses)
-            done.set()
+            if not written or address_of(name) in found[name]:
+                done.set()
 
         task = asyncio.create_task(AddressRows(settings, store, log).run(add_addresses))
         await done.wait()
@@ -126,3 +144,37 @@
     store = Store()
     store.put("vm-2", b"nonsense")
     assert register(store, "vm-1") == {"vm-1": {None, address_of("vm-1")}}
+
+
+def test_addresses_are_read_while_the_store_takes_no_writes():
+    store = Store(read_only=True)
+    store.put("vm-2", content_of("vm-2"))
+    found = register(store, "vm-1", written=False)
+    assert found == {"vm-1": {address_of("vm-2")}}
+
+
+def test_row_is_written_when_the_store_takes_writes_again(monkeypatch):
+    monkeypatch.setattr(address_rows, "REGISTER_RETRY_DELAY_S", 0.001)
+    store = Store(read_only=True)
+
+    async def main():
+        settings = types.SimpleNamespace(
+            process_name="vm-1", internal_address=address_of("vm-1")
+        )
+        log = types.SimpleNamespace(event=lambda event, **fields: None)
+        rows = AddressRows(settings, store, log)
+        task = asyncio.create_task(rows.run(lambda addresses: None))
+        await asyncio.sleep(0.05)
+        store.read_only = False
+        async with asyncio.timeout(2):
+            while "vm-1" not in store.rows:
+                await asyncio.sleep(0.001)
+        task.cancel()
+
+    asyncio.run(main())
+
+
+def test_writes_that_are_refused_again_and_again_do_not_follow_at_once():
+    store = Store(refusals=1_000_000)
+    register(store, "vm-1", written=False)
+    assert store.calls.count("write") <= 3
