Let the soak run an earlier build beside the present one, and end with a final fault

At the end callers finish the request that they have sent, where the soak cancelled it before and counted it as not served: trials had reported `recovery` for 4 to 9 requests without an answer, no more than the callers.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -20,6 +20,8 @@
     seconds: float = 15.0,
     vms: int = 4,
     logs: str | None = None,
+    production: str | None = None,
+    final_fault: bool = False,
 ):
     """Run one soak test for each seed; exit with 1 if a promise was broken.
 
@@ -29,12 +31,24 @@
         seconds: Period in which faults start in each run, in seconds.
         vms: Number of entry VMs.
         logs: Folder for the logs of runs that broke a promise; not kept unless given.
+        production: Commit of an earlier build, which all VMs run at first; restarted
+            ones run either build.
+        final_fault: Whether to kill all VMs at the same moment at the end.
     """
     first = int(time.time()) if seed is None else seed
     broken = 0
     for number in range(first, first + count):
         with tempfile.TemporaryDirectory() as folder:
-            result = asyncio.run(run_soak(number, seconds, Path(folder), vms))
+            result = asyncio.run(
+                run_soak(
+                    number,
+                    seconds,
+                    Path(folder),
+                    vms,
+                    production=production,
+                    final_fault=final_fault,
+                )
+            )
             _print_result(result)
             if result.breaches:
                 broken += 1
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from soak.builds import PRESENT_BUILD
 from soak.disturbances import STORE, DisturbanceLog
 from soak.link import Link
 from soak.vm import (
@@ -165,6 +166,8 @@
     Args:
         vms: Number of entry VMs.
         folder: Path of the folder for settings and logs.
+        builds: Paths of the folders of the builds that VMs run: the first one at first,
+            any of them after a restart.
 
     Attributes:
         store: The FakeStore.
@@ -177,11 +180,12 @@
         evacuations: List of all Evacuations, including those that are over.
         lost_links: List of all LostLinks, including those that are over.
         fatal_paths: List of the paths that end each target that runs them.
+        builds: As the argument.
         sent_fatal_paths: List of those of them that callers send at present.
         fatal_runs: List of the FatalRuns.
     """
 
-    def __init__(self, vms, folder):
+    def __init__(self, vms, folder, builds=(PRESENT_BUILD,)):
         # Each process and each cluster in it gets addresses of its own, so that test
         # runs at the same time and seeds in sequence do not share listening addresses.
         self._network = f"127.{64 + os.getpid() % 128}"
@@ -196,6 +200,7 @@
         self.lost_links = []
         self.fatal_paths = []
         self.sent_fatal_paths = []
+        self.builds = builds
         self.fatal_runs = []
         self._replacements = set()
         self._target_numbers = itertools.count(1)
@@ -241,6 +246,7 @@
         for number in range(len(SERVICES) * TARGETS_PER_SERVICE):
             await self.start_target(SERVICES[number % len(SERVICES)], number)
         for vm in self.vms:
+            vm.build = self.builds[0]
             vm.start()
             self._stack.callback(vm.kill)
         async with asyncio.timeout(START_TIMEOUT_S):
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -57,6 +57,7 @@
 ENDLESS_FAULTS = ("endless-head", "endless-body")
 RESTORED_CHANGES_MAX = 3
 RESTORED_AWAY_S = 0.5
+DOWN_S_MAX = 1.5
 
 
 class Faults:
@@ -328,6 +329,17 @@
             cluster.store.faults.away = False
             await cluster.restore_store(copy)
 
+    async def kill_all_vms(self, for_s):
+        """Kill all VMs at the same moment, and restart them."""
+        vms = self._cluster.vms
+        with self._record_disturbances(vms, "killed"):
+            for vm in vms:
+                vm.kill()
+            await asyncio.sleep(min(for_s, DOWN_S_MAX))
+            for vm in vms:
+                self._restart(vm)
+            await asyncio.gather(*map(self._cluster.wait_ready, vms))
+
     async def _replace_left(self, target):
         if not target.alive:
             # A request has ended it meanwhile, and it is being replaced.
@@ -351,6 +363,8 @@
 
     def _restart(self, vm):
         if not vm.running:
+            if len(self._cluster.builds) > 1:
+                vm.build = self._random.choice(self._cluster.builds)
             limit_ms = CLOCK_OFFSET_MS_MAX
             vm.start(self._random.randint(-limit_ms, limit_ms))
 
--- a/soak/load.py
+++ b/soak/load.py
@@ -75,20 +75,22 @@
 
     Attributes:
         calls: List of Call, in order of sending.
+        stopping: Whether callers end after the request that they have sent.
     """
 
     def __init__(self, cluster, seed):
         self.calls = []
+        self.stopping = False
         self._cluster = cluster
         self._random = random.Random(seed)
         self._request_numbers = itertools.count(1)
         self._vms = {vm.ip: vm for vm in cluster.vms}
 
     async def run_caller(self):
-        """Run one caller, which sends one request at a time, until cancelled."""
+        """Run one caller, which sends one request at a time, until it is stopped."""
         addresses, until_s, connections = [], 0.0, {}
         try:
-            while True:
+            while not self.stopping:
                 if time.monotonic() >= until_s:
                     resolved = await self._resolve()
                     addresses = resolved or addresses
@@ -103,9 +105,9 @@
     async def run_probes(self):
         """Request the newest configuration version's own route at each VM.
 
-        Goes on until cancelled.
+        Goes on until it is stopped.
         """
-        while True:
+        while not self.stopping:
             for vm in self._cluster.vms:
                 version, _ = self._cluster.configurations[-1]
                 await self._send(vm, f"/tag-{version}/1", True, {})
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -6,11 +6,12 @@
 
 import attrs
 
+from soak.builds import PRESENT_BUILD, extract_build
 from soak.cluster import Cluster
 from soak.faults import FAULTS, Faults
 from soak.load import LoadGenerator
 from soak.promises import Breach, check_promises, check_recovery
-from soak.schedule import make_schedule
+from soak.schedule import PlannedFault, make_schedule
 
 __all__ = ["SoakResult", "run_soak"]
 
@@ -19,6 +20,9 @@
 # RECOVERY_WINDOW_S after that have to succeed.
 SETTLE_S = 5.0
 RECOVERY_WINDOW_S = 3.0
+# Interval at which VMs are replaced where there are two builds.
+RESTART_INTERVAL_S = 3.0
+FINAL_DOWN_S = 1.0
 # Time after the schedule within which all faults have to end and VMs to be ready.
 FAULTS_END_TIMEOUT_S = 40.0
 
@@ -42,9 +46,21 @@
     history: tuple
 
 
-async def run_soak(seed, seconds, folder, vms=4, callers=8, faults=FAULTS):
+async def run_soak(
+    seed,
+    seconds,
+    folder,
+    vms=4,
+    callers=8,
+    faults=FAULTS,
+    production=None,
+    final_fault=False,
+):
     """Run one soak test and return its SoakResult.
 
+    With an earlier build, all VMs run that one at first, and either build after each
+    restart.
+
     Args:
         seed: Seed of the faults and of the callers' choices.
         seconds: Period in which faults start, in seconds.
@@ -52,23 +68,30 @@
         vms: Number of entry VMs.
         callers: Number of concurrent callers.
         faults: Names of the faults to choose from.
+        production: Commit of the earlier build, or None to run the present one only.
+        final_fault: Whether to kill all VMs at the end of the schedule.
     """
-    async with Cluster(vms, folder) as cluster:
+    builds = (PRESENT_BUILD,)
+    if production is not None:
+        builds = (extract_build(production, folder), PRESENT_BUILD)
+    async with Cluster(vms, folder, builds) as cluster:
         load = LoadGenerator(cluster, seed)
         loop = asyncio.get_running_loop()
         load_tasks = [loop.create_task(load.run_caller()) for _ in range(callers)]
         load_tasks.append(loop.create_task(load.run_probes()))
         schedule = make_schedule(seed, seconds, faults)
+        if production is not None:
+            schedule = sorted(schedule + _plan_restarts(seconds), key=_start_s)
+        if final_fault:
+            schedule.append(PlannedFault(seconds, "kill_all_vms", FINAL_DOWN_S))
         breaches = await _run_schedule(cluster, load, seed, seconds, schedule)
         settled_s = time.monotonic() + SETTLE_S
         await asyncio.sleep(SETTLE_S + RECOVERY_WINDOW_S)
-        for task in load_tasks:
-            task.cancel()
+        load.stopping = True
         await asyncio.wait(load_tasks)
         breaches += check_promises(cluster, load)
         breaches += check_recovery(load, settled_s, settled_s + RECOVERY_WINDOW_S)
-        failed = [task for task in load_tasks if not task.cancelled()]
-        for task in failed:
+        for task in load_tasks:
             task.result()
         served = sum(call.status == 200 for call in load.calls)
         return SoakResult(
@@ -80,6 +103,16 @@
         )
 
 
+def _plan_restarts(seconds):
+    """Return PlannedFaults that replace VMs all the while."""
+    times_s = range(int(RESTART_INTERVAL_S), int(seconds), int(RESTART_INTERVAL_S))
+    return [PlannedFault(float(at_s), "stop_vms", 0.0) for at_s in times_s]
+
+
+def _start_s(planned):
+    return planned.at_s
+
+
 async def _run_schedule(cluster, load, seed, seconds, schedule):
     """Inject the scheduled faults; return the Breaches found in the meantime."""
     faults = Faults(cluster, random.Random(seed))
--- a/soak/vm.py
+++ b/soak/vm.py
@@ -5,11 +5,11 @@
 import signal
 import subprocess
 import sys
-from pathlib import Path
+
+from soak.builds import PRESENT_BUILD
 
 __all__ = ["INTERPRETER_STARTED", "SILENT_LINKS", "TARGET_PORT_MIN", "SoakVm"]
 
-ROOT = Path(__file__).resolve().parent.parent
 CALLERS_PORT = 24000
 READY_PORT = 24001
 DIRECTORY_PORT = 24002
@@ -74,12 +74,14 @@
         name: Name of the VM.
         ip: Its IP address.
         lifetime: Number of times that its process has been started.
+        build: Path of the folder of the build that ``start`` runs.
     """
 
     def __init__(self, name, ip, data_centre, seeds, store_address, folder):
         self.name = name
         self.ip = ip
         self.lifetime = 0
+        self.build = PRESENT_BUILD
         self._log = folder / f"{name}.log"
         self._settings = folder / f"{name}.toml"
         self._cut = folder / f"{name}.cut"
@@ -141,7 +143,7 @@
         command = [sys.executable, "-m", "soak.shifted", *arguments]
         with self._log.open("ab") as log:
             self._process = subprocess.Popen(
-                command, cwd=ROOT, env=environment, stdout=log, stderr=log
+                command, cwd=self.build, env=environment, stdout=log, stderr=log
             )
 
     def send(self, signal_number):
