Choose the deciding VMs again at once when other VMs change

Callers got 503 for some of 24 requests; targets rejected eight of the first twelve.

Cause: since the services are updated at most ten times a second for changes of other VMs, and the choice of the deciding VM was kept until such an update. In a fleet that starts, each VM becomes ready, is the only ready one that it knows, and decides; the others' heartbeats come within milliseconds, but for up to 0.1 s all VMs decided for the same targets. The logs show `decider=here` at all three VMs 50 ms after `ready`. So it was in the first 0.1 s after each final fault too, and at a VM that was replaced.

--- a/sesamespring/gateway/daemon.py
+++ b/sesamespring/gateway/daemon.py
@@ -118,7 +118,7 @@
             self._availability,
             self._quarantine,
             self._log,
-            self._peers_changed,
+            self._handle_peers_changed,
         )
         self._address_rows = AddressRows(settings, self._store, self._log)
         self._table_sync = TableSync(
@@ -323,6 +323,10 @@
         self._services.update()
         self._peers.broadcast_heartbeat()
 
+    def _handle_peers_changed(self):
+        self._services.choose_deciders_again()
+        self._peers_changed()
+
     def _update_peers(self):
         self._services.update()
         self._slot_server.keep_only({m.address for m in self._peers.alive.values()})
--- a/sesamespring/gateway/services.py
+++ b/sesamespring/gateway/services.py
@@ -79,6 +79,14 @@
             and self.is_decider(name)
         ]
 
+    def choose_deciders_again(self):
+        """Choose each service's decider again when it is needed, as VMs have changed.
+
+        ``update`` may follow later, as it costs more: until then this VM must not go on
+        deciding for services that another one decides for.
+        """
+        self._deciders.clear()
+
     def update(self):
         """Update all schedulers after a change of the VMs, with this one."""
         self._deciders.clear()
