Spend extra attempts as evenly as requests come, so that a restart does not double them

Cause: the budget allowed what the requests of the last 10 s had earned at any moment of these 10 s. The same holds where a VM takes over the decisions of another one. VMs that decide alone were ruled out: nearly all extra attempts were granted by the one that decides.

Change: requests save up a tenth of the ratio at most, besides the nine tenths that they may spend as they come; what a new process earns and what an earlier one had saved make the whole ratio. An extra attempt that was taken from the slack comes back after a window.

--- a/sesamespring/routing/retry_budget.py
+++ b/sesamespring/routing/retry_budget.py
@@ -7,6 +7,11 @@
 # Below 1, because a request is counted at its first decision and reaches a target only
 # later.
 RATIO_USED = 0.9
+# The part of the ratio that requests may save up for later. All VMs may start anew just
+# after it was spent, and do not know that: with RATIO_USED it makes the whole ratio.
+RATIO_SAVED = 0.1
+# Saved at least, as a service with few requests would earn no whole extra attempt.
+SAVED_MIN = 1.0
 # VMs that have not discovered each other yet divide the slack by too small a number.
 SLACK_USED = 0.5
 
@@ -15,8 +20,10 @@
     """The extra attempts that one VM may make for one service.
 
     Each VM may spend a fixed ratio of its own requests, so that all VMs together stay
-    within that ratio. The slack is divided evenly among all VMs that are known, heard
-    or not.
+    within that ratio. It spends it about as evenly as requests come, so that two VMs
+    that count the same service one after the other, or two processes of one VM, keep to
+    the ratio too. The slack is divided evenly among all VMs that are known, heard or
+    not.
 
     Args:
         ratio: Extra attempts allowed for each request.
@@ -36,11 +43,17 @@
         self._window_s = window_s
         self._requests = collections.deque()
         self._extras = collections.deque()
+        # Extra attempts that requests have earned less those made; below 0 where these
+        # were taken from the slack.
+        self._balance = 0.0
 
     def record_request(self, now_s):
         """Count a new request, which raises the budget."""
         self._requests.append(now_s)
         self._drop_expired(now_s)
+        saved_max = max(SAVED_MIN, RATIO_SAVED * self._ratio * len(self._requests))
+        earned = self._balance + RATIO_USED * self._ratio
+        self._balance = max(self._balance, min(earned, saved_max))
 
     def allows(self, now_s, vms):
         """Return whether the budget has room for one more extra attempt.
@@ -52,6 +65,8 @@
         self._drop_expired(now_s)
         earned = RATIO_USED * self._ratio * len(self._requests)
         share = SLACK_USED * self._slack / max(1, vms)
+        if self._balance + share < 1:
+            return False
         return len(self._extras) + 1 <= earned + share
 
     def spend(self, now_s, vms):
@@ -67,10 +82,18 @@
         if not self.allows(now_s, vms):
             return False
         self._extras.append(now_s)
+        self._balance -= 1
         return True
 
     def _drop_expired(self, now_s):
         oldest_s = now_s - self._window_s
-        for times in (self._requests, self._extras):
-            while times and times[0] <= oldest_s:
-                times.popleft()
+        while self._requests and self._requests[0] <= oldest_s:
+            self._requests.popleft()
+        while self._extras and self._extras[0] <= oldest_s:
+            self._extras.popleft()
+            self._give_slack_back()
+
+    def _give_slack_back(self):
+        """Give back one extra attempt that was taken from the slack a window ago."""
+        if self._balance < 0:
+            self._balance = min(0.0, self._balance + 1)
