--- a/soak/vm.py
+++ b/soak/vm.py
@@ -160,15 +160,19 @@
     async def stop(self):
         """Stop the process by SIGTERM; kill it if it takes longer than KILL_AFTER_S.
 
+        A process that another fault starts in its place goes on.
+
         Returns:
             Whether it ended without being killed.
         """
-        self.send(signal.SIGTERM)
+        process = self._process
+        process.send_signal(signal.SIGTERM)
         try:
             async with asyncio.timeout(KILL_AFTER_S):
-                while self.running:
+                while process.poll() is None:
                     await asyncio.sleep(EXIT_POLL_S)
             return True
         except TimeoutError:
-            self.kill()
+            process.kill()
+            process.wait()
             return False
