--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -168,6 +168,7 @@
         folder: Path of the folder for settings and logs.
         builds: Paths of the folders of the builds that VMs run: the first one at first,
             any of them after a restart.
+        program: Path of the one binary that VMs run in place of a build, or None.
 
     Attributes:
         store: The FakeStore.
@@ -185,7 +186,7 @@
         fatal_runs: List of the FatalRuns.
     """
 
-    def __init__(self, vms, folder, builds=(PRESENT_BUILD,)):
+    def __init__(self, vms, folder, builds=(PRESENT_BUILD,), program=None):
         # Each process and each cluster in it gets addresses of its own, so that test
         # runs at the same time and seeds in sequence do not share listening addresses.
         self._network = f"127.{64 + os.getpid() % 128}"
@@ -201,6 +202,7 @@
         self.fatal_paths = []
         self.sent_fatal_paths = []
         self.builds = builds
+        self._program = program
         self.fatal_runs = []
         self._replacements = set()
         self._target_numbers = itertools.count(1)
@@ -247,6 +249,7 @@
             await self.start_target(SERVICES[number % len(SERVICES)], number)
         for vm in self.vms:
             vm.build = self.builds[0]
+            vm.program = self._program
             vm.start()
             self._stack.callback(vm.kill)
         async with asyncio.timeout(START_TIMEOUT_S):
--- a/soak/vm.py
+++ b/soak/vm.py
@@ -75,6 +75,8 @@
         ip: Its IP address.
         lifetime: Number of times that its process has been started.
         build: Path of the folder of the build that ``start`` runs.
+        program: Path of the one binary that ``start`` runs instead, or None. It can
+            neither have another clock nor lose its links.
     """
 
     def __init__(self, name, ip, data_centre, seeds, store_address, folder):
@@ -82,6 +84,7 @@
         self.ip = ip
         self.lifetime = 0
         self.build = PRESENT_BUILD
+        self.program = None
         self._log = folder / f"{name}.log"
         self._settings = folder / f"{name}.toml"
         self._cut = folder / f"{name}.cut"
@@ -139,13 +142,21 @@
             "SESAMESPRING_SETTINGS": str(self._settings),
             "PYTHONDONTWRITEBYTECODE": "1",
         }
-        arguments = [str(clock_offset_ms), self.ip, str(self._cut)]
-        command = [sys.executable, "-m", "soak.shifted", *arguments]
         with self._log.open("ab") as log:
             self._process = subprocess.Popen(
-                command, cwd=self.build, env=environment, stdout=log, stderr=log
+                self._command(clock_offset_ms),
+                cwd=self.build,
+                env=environment,
+                stdout=log,
+                stderr=log,
             )
 
+    def _command(self, clock_offset_ms):
+        if self.program is not None:
+            return [self.program, "gateway", "--settings", str(self._settings)]
+        arguments = [str(clock_offset_ms), self.ip, str(self._cut)]
+        return [sys.executable, "-m", "soak.shifted", *arguments]
+
     def send(self, signal_number):
         """Send a signal to the process if it is running."""
         if self.running:
