Leave requests on silenced connections out of the soak's check of final responses

The link now tells which connections it has silenced, and the check leaves just these out; before, a test of each failed.

--- a/soak/link.py
+++ b/soak/link.py
@@ -37,6 +37,8 @@
         for event in self._open.values():
             event.set()
         self._connections = set()
+        # Addresses of the clients whose connections were silenced.
+        self._silenced = set()
         self._server = None
 
     async def start(self, host, port):
@@ -60,18 +62,24 @@
         """
         for connection in self._connections:
             connection.silent.set()
+            self._silenced.add(connection.client_address)
+
+    def is_silenced(self, client_address):
+        """Return whether a connection from a client's address was silenced."""
+        return client_address in self._silenced
 
     def reset_client(self, ip):
         """Reset all connections of a client."""
         for connection in tuple(self._connections):
-            if connection.client_ip == ip:
+            if connection.client_address[0] == ip:
                 connection.abort()
 
     def silence_client(self, ip):
         """Stop forwarding on the open connections of a client for good."""
         for connection in self._connections:
-            if connection.client_ip == ip:
+            if connection.client_address[0] == ip:
                 connection.silent.set()
+                self._silenced.add(connection.client_address)
 
     def cut(self, *directions):
         """Hold back all bytes in some directions until ``restore``."""
@@ -102,7 +110,9 @@
         except OSError:
             _abort(writer)
             return
-        connection = _Connection(self, peer[0], (reader, writer), upstream)
+        # The port may have been used before.
+        self._silenced.discard(peer)
+        connection = _Connection(self, peer, (reader, writer), upstream)
         self._connections.add(connection)
         # Only the end of the whole run cancels this task, so that need not be reported.
         with contextlib.suppress(asyncio.CancelledError):
@@ -111,9 +121,9 @@
 
 
 class _Connection:
-    def __init__(self, link, client_ip, client, server):
+    def __init__(self, link, client_address, client, server):
         self.silent = asyncio.Event()
-        self.client_ip = client_ip
+        self.client_address = client_address
         self._link = link
         self._client_reader, self._client_writer = client
         self._server_reader, self._server_writer = server
--- a/soak/load.py
+++ b/soak/load.py
@@ -47,6 +47,8 @@
             the read timed out without one; None until then.
         body: Body of the response.
         not_connected: Whether the connection to the VM failed.
+        silenced: Whether its connection was silenced, so that it never reached the VM
+            or its response never came back.
     """
 
     request_id: str
@@ -59,6 +61,7 @@
     status: int | None = None
     body: bytes = b""
     not_connected: bool = False
+    silenced: bool = False
 
     @property
     def fatal(self):
@@ -147,12 +150,14 @@
             request_id, path, idempotent, vm.name, vm.lifetime, time.monotonic()
         )
         self.calls.append(call)
+        client_address = None
         try:
             async with asyncio.timeout(TIMEOUT_S + LATE_READ_S):
                 if vm.ip not in connections:
                     address = self._cluster.callers_address(vm.ip)
                     connections[vm.ip] = await asyncio.open_connection(*address)
                 reader, writer = connections[vm.ip]
+                client_address = writer.get_extra_info("sockname")
                 writer.write(_request_bytes(call))
                 call.status, headers, call.body = await _read_response(reader)
                 if headers.get("connection") == "close":
@@ -164,6 +169,8 @@
             _abort_connection(connections, vm.ip)
         finally:
             call.ended_s = time.monotonic()
+            link = self._cluster.callers_links[vm.ip]
+            call.silenced = link.is_silenced(client_address)
             if vm.ip in connections and call.status is None:
                 _abort_connection(connections, vm.ip)
 
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -190,7 +190,9 @@
     breaches = []
     for call in calls:
         due_s = call.sent_s + TIMEOUT_S + LATE_RESPONSE_S
-        if call.ended_s is None or call.ended_s <= due_s or call.not_connected:
+        if call.ended_s is None or call.ended_s <= due_s:
+            continue
+        if call.not_connected or call.silenced:
             continue
         if cluster.disturbances.is_undisturbed(call.vm, call.sent_s, call.ended_s):
             breaches.append(Breach("final-answer", f"{call}"))
--- a/tests/soak/test_link.py
+++ b/tests/soak/test_link.py
@@ -88,3 +88,18 @@
             await _read(reader)
 
     run_scenario(scenario)
+
+
+def test_knows_which_connections_were_silenced():
+    async def scenario(link):
+        _, early = await asyncio.open_connection(*LINK)
+        early.write(b"a")
+        await asyncio.sleep(0.05)
+        link.silence()
+        reader, late = await asyncio.open_connection(*LINK)
+        late.write(b"a")
+        assert await _read(reader) == b"a"
+        assert link.is_silenced(early.get_extra_info("sockname"))
+        assert not link.is_silenced(late.get_extra_info("sockname"))
+
+    run_scenario(scenario)
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -99,6 +99,8 @@
 def test_detects_a_request_without_a_final_answer():
     unanswered = call(status=None, ended_s=13.4)
     assert "final-answer" in broken_promises(cluster(target()), unanswered)
+    unanswered.silenced = True
+    assert "final-answer" not in broken_promises(cluster(target()), unanswered)
 
 
 def test_detects_work_for_a_leaving_target():
