--- a/soak/builds.py
+++ b/soak/builds.py
@@ -6,13 +6,18 @@
 import tarfile
 from pathlib import Path
 
-__all__ = ["PRESENT_BUILD", "extract_build"]
+__all__ = ["PRESENT_BUILD", "build_name", "extract_build"]
 
 # Folder whose packages the VMs of the present build run.
 PRESENT_BUILD = Path(__file__).resolve().parent.parent
 PRODUCT = "sesamespring"
 
 
+def build_name(folder):
+    """Return the name of the build in a folder, for people."""
+    return "the present build" if folder == PRESENT_BUILD else folder.name
+
+
 def extract_build(commit, folder):
     """Extract the daemon of a commit and return the folder to run it in.
 
--- a/soak/disturbances.py
+++ b/soak/disturbances.py
@@ -31,18 +31,20 @@
 
     def __init__(self):
         self._spans = []
+        self._notes = []
 
     @property
     def lines(self):
-        """A line of text for each span, in order of start.
+        """A line of text for each span and note, in order of start.
 
         Times are in seconds after the start of the first span.
         """
         first_s = self._spans[0].start_s if self._spans else 0.0
+        spans = sorted((*self._spans, *self._notes), key=lambda span: span.start_s)
         return [
             f"{span.start_s - first_s:6.2f} to {span.end_s - first_s:6.2f} "
             f"{span.component} {span.kind}"
-            for span in self._spans
+            for span in spans
         ]
 
     def begin(self, component, kind):
@@ -59,6 +61,11 @@
         self._spans.append(span)
         return span
 
+    def note(self, component, text):
+        """Add a line to ``lines`` that is no disturbance."""
+        now_s = time.monotonic()
+        self._notes.append(_Span(component, text, now_s, now_s))
+
     def end(self, span):
         """Record the end of a disturbance."""
         span.end_s = time.monotonic()
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,6 +6,7 @@
 import signal
 import time
 
+from soak.builds import build_name
 from soak.cluster import (
     COLD_START_S,
     DATA_CENTRES,
@@ -365,6 +366,9 @@
         if not vm.running:
             if len(self._cluster.builds) > 1:
                 vm.build = self._random.choice(self._cluster.builds)
+                self._cluster.disturbances.note(
+                    vm.name, f"starts {build_name(vm.build)}"
+                )
             limit_ms = CLOCK_OFFSET_MS_MAX
             vm.start(self._random.randint(-limit_ms, limit_ms))
 
