--- a/soak/faults.py
+++ b/soak/faults.py
@@ -12,12 +12,11 @@
     DATA_CENTRES,
     POLL_S,
     SERVICES,
-    LimitedPeriod,
-    LostLinks,
 )
 from soak.link import Direction
 from soak.load import FATAL_PREFIX
 from soak.promises import LINKS_LOST
+from soak.records import LimitedPeriod, LostLinks
 from soak.vm import SILENT_LINKS
 
 __all__ = ["FAULTS", "Faults"]
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -4,10 +4,10 @@
 
 import pytest
 
-from soak.cluster import Evacuation, FatalRun, LimitedPeriod, LostLinks
 from soak.disturbances import STORE, DisturbanceLog
 from soak.load import Call
 from soak.promises import check_promises, check_recovery
+from soak.records import Evacuation, FatalRun, LimitedPeriod, LostLinks
 from standins.platform_target import Arrival
 
 
