--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -79,9 +79,9 @@
         evacuations: List of all Evacuations, including those that are over.
         lost_links: List of all LostLinks, including those that are over.
         fatal_paths: List of the paths that end each target that runs them.
-        builds: As the argument.
         sent_fatal_paths: List of those of them that callers send at present.
         fatal_runs: List of the FatalRuns.
+        builds: As the argument.
     """
 
     def __init__(self, vms, folder, builds=(PRESENT_BUILD,), program=None):
@@ -99,9 +99,9 @@
         self.lost_links = []
         self.fatal_paths = []
         self.sent_fatal_paths = []
+        self.fatal_runs = []
         self.builds = builds
         self._program = program
-        self.fatal_runs = []
         self._replacements = set()
         self._target_numbers = itertools.count(1)
         self._stack = contextlib.AsyncExitStack()
