Review: an endpoint that becomes cold under load gets too much

Order of events: a busy endpoint becomes cold and says so in its health responses and its entry at once; it is not probed, as its answers to requests renew the load report; its full share goes on until the row is read.

--- a/review/deployment.py
+++ b/review/deployment.py
@@ -28,6 +28,7 @@
 REGION = "santiago"
 ZONES = {f"{REGION}-{letter}": REGION for letter in "abc"}
 HEARTBEAT_S = 1.5
+HEARTBEATS_MISSED = 3
 START_TIMEOUT_S = 25.0
 METRICS_PORT = 9464
 PORTS = {"front": 8641, "ready": 8640, "control": 8649, "directory": 8644}
@@ -176,6 +177,8 @@
         self.store = FakeStore()
         self.machines = []
         self.endpoints = {}
+        self._entries = {}
+        self._heartbeats = {}
         self._configuration = configuration
         self._wanted = endpoints
         self._slots = slots
@@ -296,11 +299,12 @@
                     await asyncio.sleep(0.1)
         self.record.write("ready", machines=len(self.machines))
 
-    async def add_endpoint(self, service, zone):
-        """Start an endpoint, register it, and keep its entry fresh."""
+    async def add_endpoint(self, service, zone, cold_s=0.0):
+        """Start an endpoint, register it, keep its entry fresh, and return it."""
         number = sum(map(len, self.endpoints.values()))
         endpoint = Endpoint(f"i-{service}-{number}", self._slots, self.record)
         await endpoint.start(f"{self._net}.{100 + number}")
+        endpoint.become_cold(cold_s)
         self._stack.callback(endpoint.close)
         self.endpoints.setdefault(service, []).append(endpoint)
         born = time.time_ns() // 1_000_000
@@ -312,18 +316,33 @@
             "slots": self._slots,
             "state": "ready",
             "warmupLeftMs": 0,
-            "sequence": 1,
+            "sequence": 0,
             "born": born,
         }
-        await self.store.put("servers", endpoint.name, entry)
-        task = asyncio.create_task(self._heartbeat(endpoint.name, entry))
+        self._entries[endpoint.name] = entry
+        await self.write_entry(endpoint)
+        task = asyncio.create_task(self._heartbeat(endpoint))
         self._stack.callback(task.cancel)
+        self._heartbeats[endpoint.name] = task
+        return endpoint
+
+    async def forget_endpoint(self, endpoint):
+        """Let the entry of an endpoint that has ended lapse as in the store."""
+        self._heartbeats[endpoint.name].cancel()
+        await asyncio.sleep(HEARTBEATS_MISSED * HEARTBEAT_S)
+        await self.store.delete("servers", endpoint.name)
+
+    async def write_entry(self, endpoint):
+        """Write an endpoint's entry with its present state."""
+        entry = self._entries[endpoint.name]
+        entry["sequence"] += 1
+        entry["warmupLeftMs"] = endpoint.cold_left_ms
+        await self.store.put("servers", endpoint.name, entry)
 
-    async def _heartbeat(self, name, entry):
+    async def _heartbeat(self, endpoint):
         while True:
             await asyncio.sleep(HEARTBEAT_S)
-            entry["sequence"] += 1
-            await self.store.put("servers", name, entry)
+            await self.write_entry(endpoint)
 
     async def is_ready(self, machine):
         """Ask a machine as the platform does once a second."""
--- a/review/endpoint.py
+++ b/review/endpoint.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 import time
 
 __all__ = ["Endpoint"]
@@ -19,6 +20,15 @@
         name: Its id in the store.
         slots: Number of requests that it runs at once.
         record: The Record of the case.
+
+    Attributes:
+        address: Pair of IP and port.
+        runs: Dict of the time at which it began to run a request, by request id.
+        arrivals: Dict of the time at which a request arrived, by request id.
+        cold_since_s: Time at which it last became cold.
+        cold_until_s: Time until which it is cold.
+        crashes_above: Number of requests in one second that crash it while it is cold.
+        on_crash: Function that is called with it after its crash.
     """
 
     def __init__(self, name, slots, record):
@@ -26,6 +36,11 @@
         self.slots = slots
         self.address = None
         self.runs = {}
+        self.arrivals = {}
+        self.cold_since_s = 0.0
+        self.cold_until_s = 0.0
+        self.crashes_above = math.inf
+        self.on_crash = lambda endpoint: None
         self._record = record
         self._free = asyncio.Semaphore(slots)
         self._waiting = 0
@@ -44,6 +59,16 @@
         for writer in tuple(self._writers):
             writer.transport.abort()
 
+    @property
+    def cold_left_ms(self):
+        """How much longer it is cold, in milliseconds."""
+        return max(0, round((self.cold_until_s - time.monotonic()) * 1000))
+
+    def become_cold(self, seconds):
+        """Be cold for some seconds from now on."""
+        self.cold_since_s = time.monotonic()
+        self.cold_until_s = self.cold_since_s + seconds
+
     async def _serve(self, reader, writer):
         self._writers.add(writer)
         try:
@@ -67,12 +92,20 @@
         await _read_body(reader, fields)
         if path == HEALTH_PATH:
             headers = {"Sesamespring-Instance-Id": self.name}
+            if self.cold_left_ms:
+                headers["Sesamespring-Warmup-Ms"] = str(self.cold_left_ms)
             return await self._send(writer, 200, headers, b"")
         if fields.get("sesamespring-expect-instance", self.name) != self.name:
             headers = {"Sesamespring-Instance-Id": self.name}
             return await self._send(writer, 421, headers, b"")
         request_id = fields["sesamespring-request-id"]
         headers = {"Sesamespring-Request-Id": request_id}
+        self.arrivals[request_id] = time.monotonic()
+        if self._is_overrun():
+            self.close()
+            self._record.write("crash", endpoint=self.name)
+            self.on_crash(self)
+            return False
         if self._free.locked() and self._waiting >= QUEUE:
             headers["Sesamespring-Not-Executed"] = "1"
             return await self._send(writer, 503, headers, b"")
@@ -82,6 +115,12 @@
         body = f"answer to {request_id}".encode()
         return await self._send(writer, 200, headers, body)
 
+    def _is_overrun(self):
+        if not self.cold_left_ms:
+            return False
+        since_s = max(self.cold_since_s, time.monotonic() - 1.0)
+        return sum(at > since_s for at in self.arrivals.values()) > self.crashes_above
+
     async def _run(self, reader, request_id, path):
         """Run a request; return whether its connection is still open at the end."""
         self._waiting += 1
