Review: an endless body of tiny chunks stops the whole process

Promise: CONFIG, a final answer within 0.5 s of timeoutMs. Order of events: one endpoint of six answers with a chunked body without end; all chunks of one read are parsed at once, for over a second; other requests, deadlines and heartbeats of that process wait.

--- a/review/client.py
+++ b/review/client.py
@@ -79,11 +79,21 @@
             for line in filter(None, lines[1:]):
                 name, _, value = line.partition(":")
                 headers[name.lower()] = value.strip()
-            body = await self._reader.readexactly(int(headers["content-length"]))
+            body = await self._receive_body(headers)
         except (OSError, asyncio.IncompleteReadError):
             return None
         return Answer(status, headers, body)
 
+    async def _receive_body(self, headers):
+        if headers.get("transfer-encoding") != "chunked":
+            return await self._reader.readexactly(int(headers["content-length"]))
+        body = b""
+        while size := int(await self._reader.readline() or b"0", 16):
+            body += await self._reader.readexactly(size)
+            await self._reader.readline()
+        await self._reader.readexactly(2)
+        return body
+
     def close(self):
         """Close the connection at once."""
         with contextlib.suppress(OSError):
--- a/review/endpoint.py
+++ b/review/endpoint.py
@@ -9,6 +9,7 @@
 
 HEALTH_PATH = "/health"
 QUEUE = 6
+ENDLESS_BLOCK_BYTES = 64 * 1024
 
 
 class Endpoint:
@@ -29,6 +30,8 @@
         cold_until_s: Time until which it is cold.
         crashes_above: Number of requests in one second that crash it while it is cold.
         on_crash: Function that is called with it after its crash.
+        endless_head: Bytes that it repeats in place of answers, or None.
+        endless_body: Bytes that it repeats in the body of its answers, or None.
     """
 
     def __init__(self, name, slots, record):
@@ -41,6 +44,8 @@
         self.cold_until_s = 0.0
         self.crashes_above = math.inf
         self.on_crash = lambda endpoint: None
+        self.endless_head = None
+        self.endless_body = None
         self._record = record
         self._free = asyncio.Semaphore(slots)
         self._waiting = 0
@@ -111,7 +116,17 @@
             return await self._send(writer, 503, headers, b"")
         if not await self._run(reader, request_id, path):
             return False
+        if self.endless_head is not None:
+            return await _repeat(writer, b"", self.endless_head)
         headers["Sesamespring-Server-Stamp"] = f"stamp-{self.name}"
+        if self.endless_body is not None:
+            lines = [
+                "HTTP/1.1 200 X",
+                "Transfer-Encoding: chunked",
+                *(f"{k}: {v}" for k, v in headers.items()),
+            ]
+            head = "\r\n".join(lines).encode() + b"\r\n\r\n"
+            return await _repeat(writer, head, self.endless_body)
         body = f"answer to {request_id}".encode()
         return await self._send(writer, 200, headers, body)
 
@@ -155,6 +170,15 @@
         return True
 
 
+async def _repeat(writer, start, part):
+    """Write ``part`` again and again until the caller closes the connection."""
+    writer.write(start)
+    block = part * (ENDLESS_BLOCK_BYTES // len(part))
+    while True:
+        writer.write(block)
+        await writer.drain()
+
+
 async def _read_body(reader, fields):
     if fields.get("transfer-encoding") != "chunked":
         await reader.readexactly(int(fields.get("content-length", 0)))
