--- a/review/2/case.py
+++ b/review/2/case.py
@@ -83,12 +83,13 @@
 
     def _crashed(self, endpoint):
         self.times_s.append(time.monotonic())
-        self._tasks.add(asyncio.create_task(self._replace(endpoint)))
+        lapsing = self._deployment.forget_endpoint(endpoint)
+        self._tasks.add(asyncio.create_task(lapsing))
+        self._tasks.add(asyncio.create_task(self._start_another()))
 
-    async def _replace(self, endpoint):
+    async def _start_another(self):
         await asyncio.sleep(BACK_AFTER_S)
         self.watch(await self._deployment.add_endpoint(SERVICE, ZONE, COLD_S))
-        await self._deployment.forget_endpoint(endpoint)
 
 
 class Callers:
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -19,9 +19,9 @@
 LIMIT_MS = 2500
 WARM_S = 4.0
 COLD_S = 3.0
-# Time from one turn to the next.
-TURN_S = 5.0
-TURNS = 4
+# Time from one turn to the next, drawn anew, as the machines poll in a steady beat.
+TURN_S = (4.0, 4.7)
+TURNS = 14
 REPLACED_AFTER_S = 1.0
 WINDOW_S = 1.0
 WARMUP_PER_S = 7.2
@@ -123,6 +123,7 @@
 async def case(record, trouble):
     """Return whether cold endpoints got no more than the bound in any second."""
     counts = []
+    chance = random.Random()
     async with Deployment(
         record, CONFIGURATION, {"pareos": ENDPOINTS}, SLOTS
     ) as deployment:
@@ -134,33 +135,40 @@
 
         def on_crash(endpoint):
             crashed.append(endpoint)
-            replacing.append(asyncio.create_task(replace(endpoint)))
+            replacing.append(asyncio.create_task(deployment.forget_endpoint(endpoint)))
+            replacing.append(asyncio.create_task(start_another()))
 
-        async def replace(endpoint):
+        async def start_another():
             await asyncio.sleep(REPLACED_AFTER_S)
             await deployment.add_endpoint("pareos", ZONES_USED[0], COLD_S)
-            await deployment.forget_endpoint(endpoint)
 
         for endpoint in deployment.endpoints["pareos"]:
             endpoint.crashes_above = CRASHES_ABOVE
             endpoint.on_crash = on_crash
         load = Load(deployment, addresses)
-        running = asyncio.create_task(load.run(WARM_S + TURNS * TURN_S))
+        running = asyncio.create_task(load.run(WARM_S + TURNS * TURN_S[1]))
         await asyncio.sleep(WARM_S)
         for turn in range(TURNS):
-            endpoint = deployment.endpoints["pareos"][turn]
+            warm = [
+                e
+                for e in deployment.endpoints["pareos"]
+                if e not in crashed and not e.cold_left_ms
+            ]
+            endpoint = warm[turn % len(warm)]
             cold_s = time.monotonic()
             before = sum(cold_s - WINDOW_S <= at for at in endpoint.arrivals.values())
             if trouble:
                 endpoint.become_cold(COLD_S)
                 await deployment.write_entry(endpoint)
             record.write("turn", endpoint=endpoint.name, cold=trouble, before=before)
-            await asyncio.sleep(TURN_S)
+            await asyncio.sleep(chance.uniform(*TURN_S))
             if trouble:
                 count = most_in_a_second(endpoint, load.sent_s, cold_s)
                 record.write("most-in-a-cold-second", count=count, bound=BOUND)
                 counts.append(count)
         await running
+        for task in replacing:
+            task.cancel()
         lost = sum(load.statuses[r] != 200 for e in crashed for r in e.runs)
     answered = sum(status == 200 for status in load.statuses.values())
     print(
--- a/review/deployment.py
+++ b/review/deployment.py
@@ -20,7 +20,6 @@
 
 from review.client import Connection, resolve
 from review.endpoint import Endpoint
-from soak.link import Direction, Link
 from standins.store import FakeStore
 
 __all__ = ["REGION", "ZONES", "CouldNotRun", "Deployment", "Machine", "Record", "main"]
@@ -31,8 +30,6 @@
 HEARTBEAT_S = 1.5
 HEARTBEATS_MISSED = 3
 START_TIMEOUT_S = 25.0
-READERS_WATCHED_S = 2.5
-RESTART_DELAY_S = 0.5
 METRICS_PORT = 9464
 PORTS = {"front": 8641, "ready": 8640, "control": 8649, "directory": 8644}
 INTERNAL_PORTS = (7620, 7635)
@@ -136,19 +133,6 @@
         self._file.flush()
 
 
-class StoreLink(Link):
-    """The way from one machine to the store, which counts what is forwarded."""
-
-    def __init__(self, target):
-        super().__init__(target)
-        self.forwarded = 0
-
-    async def wait_open(self, direction):
-        """Count a piece of data and wait until it may go on."""
-        self.forwarded += 1
-        await super().wait_open(direction)
-
-
 class Machine:
     """A machine, with the process of one role or two.
 
@@ -157,21 +141,15 @@
         zone: Its zone.
         ip: Its address.
         roles: Names of its roles.
-        store_link: Its StoreLink.
-        store_address: IP at which it reaches the store.
         processes: Dict of process by role.
-        ends: How often its processes have ended by themselves.
     """
 
     def __init__(self, name, zone, ip, roles):
-        self.store_link = None
-        self.store_address = None
         self.name = name
         self.zone = zone
         self.ip = ip
         self.roles = roles
         self.processes = {}
-        self.ends = 0
 
     @property
     def front(self):
@@ -262,21 +240,6 @@
                 found.update(dict.fromkeys(endpoint.runs, endpoint.name))
         return found
 
-    async def readers(self, count):
-        """Return the machines that exchange most with the store, the busiest first."""
-        before = {m.name: m.store_link.forwarded for m in self.machines}
-        await asyncio.sleep(READERS_WATCHED_S)
-
-        def forwarded(machine):
-            return machine.store_link.forwarded - before[machine.name]
-
-        return sorted(self.machines, key=forwarded, reverse=True)[:count]
-
-    def partition_from_store(self, machine):
-        """Cut a machine off the store; its connections hang, and so do new ones."""
-        self.record.write("partitioned-from-store", machine=machine.name)
-        machine.store_link.cut(*Direction)
-
     def signal(self, machine, number):
         """Send a signal to all processes of a machine."""
         self.record.write("signal", machine=machine.name, number=number)
@@ -284,19 +247,6 @@
             if process.poll() is None:
                 process.send_signal(number)
 
-    async def restart_ended(self):
-        """Start processes that end again after a short delay, until cancelled."""
-        while True:
-            await asyncio.sleep(RESTART_DELAY_S)
-            for machine in self.machines:
-                for role, process in tuple(machine.processes.items()):
-                    if process.poll() is None:
-                        continue
-                    name = f"{machine.name}/{role}"
-                    self.record.write("ended", process=name, code=process.returncode)
-                    machine.ends += 1
-                    await self.start_process(machine, role)
-
     async def start_process(self, machine, role):
         """Start the process of a role with the deploy file's command."""
         path = self._folder / f"{machine.name}-{role}.toml"
@@ -317,21 +267,11 @@
         machine.processes[role] = process
         self._stack.callback(_end, process)
 
-    def log_lines(self, machine, role="entry"):
-        """Return the lines that a role's processes have written."""
-        path = self._folder / f"{machine.name}-{role}.log"
-        return path.read_text("utf-8", "replace").splitlines()
-
     async def _start(self):
         folder = self._stack.enter_context(tempfile.TemporaryDirectory())
         self._folder = pathlib.Path(folder)
         await self.store.start(f"{self._net}.1", STORE_PORT)
         self._stack.callback(self.store.close)
-        for number, machine in enumerate(self.machines):
-            machine.store_link = StoreLink((f"{self._net}.1", STORE_PORT))
-            machine.store_address = f"{self._net}.{50 + number}"
-            await machine.store_link.start(machine.store_address, STORE_PORT)
-            self._stack.callback(machine.store_link.close)
         await self.put_configuration(self._configuration)
         for service, count in self._wanted.items():
             for number in range(count):
@@ -428,7 +368,7 @@
             seeds=", ".join(f'"{m.ip}:{PORTS["control"]}"' for m in seeds),
             listen="\n".join(f'{n} = "{machine.ip}:{PORTS[n]}"' for n in listened),
             zones="\n".join(f'{z} = "{r}"' for z, r in ZONES.items()),
-            store=f"{machine.store_address}:{STORE_PORT}",
+            store=f"{self._net}.1:{STORE_PORT}",
         )
 
 
--- a/review/endpoint.py
+++ b/review/endpoint.py
@@ -31,7 +31,6 @@
         crashes_above: Number of requests in one second that crash it while it is cold.
         on_crash: Function that is called with it after its crash.
         crashed_by: Value of Authorization of the requests that crash it.
-        endless_head: Bytes that it repeats in place of answers, or None.
         endless_body: Bytes that it repeats in the body of its answers, or None.
     """
 
@@ -46,7 +45,6 @@
         self.crashes_above = math.inf
         self.on_crash = lambda endpoint: None
         self.crashed_by = None
-        self.endless_head = None
         self.endless_body = None
         self._record = record
         self._free = asyncio.Semaphore(slots)
@@ -119,8 +117,6 @@
             return await self._send(writer, 503, headers, b"")
         if not await self._run(reader, request_id, path):
             return False
-        if self.endless_head is not None:
-            return await _repeat(writer, b"", self.endless_head)
         headers["Sesamespring-Server-Stamp"] = f"stamp-{self.name}"
         if self.endless_body is not None:
             lines = [
