--- a/review/deployment.py
+++ b/review/deployment.py
@@ -406,7 +406,8 @@
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
     try:
         held = asyncio.run(_limited(case, record, trouble))
-    except (CouldNotRun, OSError, TimeoutError) as error:
+    except Exception as error:
+        # Whatever fails here, it says nothing about the rule.
         record.write("could-not-run", reason=repr(error))
         print(f"could not run: {error!r}", file=sys.stderr)
         sys.exit(COULD_NOT_RUN)
