--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,52 +1,45 @@
-"""A caller whose requests crash endpoints, beside other callers of the same path."""
+"""Pipelining clients on open connections while a machine is stopped by SIGTERM."""
 
 import asyncio
 import itertools
 import random
+import signal
 import sys
-import time
 
 from review.client import Connection
 from review.deployment import Deployment, main
 
 HOST = "hulo84.example"
 ZONE = "santiago-a"
-SERVICE = "perfiles"
-ENDPOINTS = 9
-PATH = "/leny950/page/work-40"
-LIMIT_MS = 2000
-CALLERS = 6
-REQUESTS_PER_S = 30
-FATAL_CALLER = 0
-# Without trouble, this caller sends the same requests as the fatal one would.
-HARMLESS_CALLER = 7
-FATAL_PAUSE_S = 1.0
-FATAL_FROM_S = 2.0
-LENGTH_S = 22.0
-BACK_AFTER_S = 2.0
-COLD_S = 3.0
-CRASHES = 3
-STABLE_WINDOW_S = 3.0
-RETRIES_MAX = 3
+CONNECTIONS = 12
+# What a request takes at its endpoint, as at `perfil-lookup` and `afinidad-browse`.
+QUICK_WORK_MS = 90
+LONG_WORK_MS = 900
+LONG_SHARE = 0.3
+PAUSE_S = (0.1, 0.3)
+DEPTH_MAX = 6
+LIMIT_MS = 6000
+BEFORE_S = 2.0
+GRACE_S = 6.0
 CONFIGURATION = {
     "version": "00000007",
     "routes": {
-        "r-lookup": {
+        "r-browse": {
             "host": HOST,
             "prefix": "/leny950/",
             "type": "safe",
-            "timeoutMs": 1000,
-            "targetLatencyMs": 250,
+            "timeoutMs": 3000,
+            "targetLatencyMs": 1000,
             "priority": 2,
-            "service": SERVICE,
+            "service": "afinidad",
             "maxAttempts": 2,
         },
     },
     "services": {
-        SERVICE: {
+        "afinidad": {
             "healthPath": "/health",
             "maxConnections": 260,
-            "warmupS": COLD_S,
+            "warmupS": 3.0,
             "warmupPerS": 7.2,
         },
     },
@@ -59,132 +52,93 @@
 }
 
 
-class Crashes:
-    """Lets endpoints come back some seconds after they have crashed.
+class Caller:
+    """A client that sends safe requests on one connection without waiting for answers.
 
-    Attributes:
-        times_s: List of the times of the crashes.
+    It sends no more once an answer says that the connection closes.
     """
 
-    def __init__(self, deployment):
-        self.times_s = []
+    def __init__(self, number, deployment, random_source):
+        self._name = f"c{number}"
         self._deployment = deployment
-        self._tasks = set()
-
-    def watch(self, endpoint):
-        """Let the fatal caller's requests crash an endpoint."""
-        endpoint.crashed_by = _credentials(FATAL_CALLER)
-        endpoint.on_crash = self._crashed
-
-    def close(self):
-        """Replace no more endpoints."""
-        for task in self._tasks:
-            task.cancel()
-
-    def _crashed(self, endpoint):
-        self.times_s.append(time.monotonic())
-        lapsing = self._deployment.forget_endpoint(endpoint)
-        self._tasks.add(asyncio.create_task(lapsing))
-        self._tasks.add(asyncio.create_task(self._start_another()))
-
-    async def _start_another(self):
-        await asyncio.sleep(BACK_AFTER_S)
-        self.watch(await self._deployment.add_endpoint(SERVICE, ZONE, COLD_S))
-
-
-class Callers:
-    """Callers of one path, each with an address and credentials of its own.
-
-    Attributes:
-        outcomes: Dict by request id of a status, ``closed`` or ``given-up``.
-    """
-
-    def __init__(self, deployment, addresses):
-        self.outcomes = {}
-        self._deployment = deployment
-        self._addresses = addresses
-        self._random = random.Random(5)
+        self._random = random_source
         self._numbers = itertools.count(1)
-
-    async def run(self, trouble):
-        """Send for the time of the case, then wait for the answers."""
-        end_s = time.monotonic() + LENGTH_S
-        repeating = FATAL_CALLER if trouble else HARMLESS_CALLER
-        tasks = [asyncio.create_task(self._repeat(repeating, end_s))]
-        while time.monotonic() < end_s:
-            caller = self._random.randint(1, CALLERS)
-            tasks.append(asyncio.create_task(self._request(caller)))
-            await asyncio.sleep(self._random.expovariate(REQUESTS_PER_S))
-        await asyncio.wait(tasks, timeout=LIMIT_MS / 1000 + 1)
-
-    async def _repeat(self, caller, end_s):
-        await asyncio.sleep(FATAL_FROM_S)
-        while time.monotonic() < end_s:
-            await self._request(caller)
-            await asyncio.sleep(FATAL_PAUSE_S)
-
-    async def _request(self, caller):
-        record = self._deployment.record
-        request_id = f"c{caller}-{next(self._numbers)}"
-        address = self._random.choice(self._addresses)
-        own_ip = self._deployment.client_ip(caller)
-        try:
-            connection = await Connection.open(address, own_ip)
-        except (OSError, TimeoutError):
-            record.write("not-connected", request=request_id)
-            return
-        credentials = _credentials(caller)
-        connection.send("GET", HOST, PATH, request_id, LIMIT_MS, caller=credentials)
-        record.write("sent", request=request_id, caller=credentials)
+        self._unanswered = []
+        self._connection = None
+        self._open = True
+        self.sent = 0
+        self.answered = 0
+        self.cut = []
+
+    async def run(self, address):
+        """Send and receive until the connection ends."""
+        self._connection = await Connection.open(address)
+        sending = asyncio.create_task(self._send())
         try:
-            async with asyncio.timeout(LIMIT_MS / 1000):
-                answer = await connection.receive()
-            outcome = "closed" if answer is None else answer.status
-        except TimeoutError:
-            outcome = "given-up"
+            while self._open or self._unanswered:
+                answer = await self._connection.receive()
+                if answer is None:
+                    break
+                request_id = self._unanswered.pop(0)
+                self.answered += answer.status == 200
+                self._deployment.record.write(
+                    "answered", request=request_id, status=answer.status
+                )
+                if answer.closes:
+                    break
         finally:
-            connection.close()
-        self.outcomes[request_id] = outcome
-        record.write("ended", request=request_id, outcome=outcome)
-
-
-def _credentials(caller):
-    return f"caller-{caller}"
-
-
-def _is_fatal(request_id):
-    return request_id.startswith(f"c{FATAL_CALLER}-")
+            self._open = False
+            sending.cancel()
+            self._connection.close()
+        for request_id in self._unanswered:
+            self._deployment.record.write("unanswered", request=request_id)
+            self.cut.append(request_id)
+
+    def stop(self):
+        """Send no more; the client closes the connection after the last answer."""
+        self._open = False
+
+    async def _send(self):
+        while self._open:
+            if len(self._unanswered) < DEPTH_MAX:
+                request_id = f"{self._name}-{next(self._numbers)}"
+                is_long = self._random.random() < LONG_SHARE
+                work_ms = LONG_WORK_MS if is_long else QUICK_WORK_MS
+                path = f"/leny950/work-{work_ms}"
+                self._unanswered.append(request_id)
+                self.sent += 1
+                self._connection.send("GET", HOST, path, request_id, LIMIT_MS)
+                self._deployment.record.write("sent", request=request_id, path=path)
+            await asyncio.sleep(self._random.uniform(*PAUSE_S))
 
 
 async def case(record, trouble):
-    """Return whether the fatal requests were kept from endpoints."""
-    endpoints = {SERVICE: ENDPOINTS}
-    async with Deployment(record, CONFIGURATION, endpoints) as deployment:
+    """Return whether no request that reached an endpoint was cut off."""
+    random_source = random.Random(1)
+    async with Deployment(record, CONFIGURATION, {"afinidad": 18}) as deployment:
         addresses = await deployment.wait_resolved(HOST, ZONE)
-        crashes = Crashes(deployment)
-        for endpoint in deployment.endpoints[SERVICE]:
-            crashes.watch(endpoint)
-        callers = Callers(deployment, addresses)
-        await callers.run(trouble)
-        crashes.close()
-        runs = {
-            request_id: at_s
-            for endpoint in deployment.endpoints[SERVICE]
-            for request_id, at_s in endpoint.runs.items()
-        }
-    late = []
-    if len(crashes.times_s) >= CRASHES:
-        from_s = crashes.times_s[CRASHES - 1] + STABLE_WINDOW_S
-        late = [r for r, at_s in runs.items() if _is_fatal(r) and at_s > from_s]
-    others = [o for r, o in callers.outcomes.items() if not _is_fatal(r)]
-    print(
-        f"crashes {len(crashes.times_s)}; fatal requests that reached endpoints more "
-        f"than 3 s after the third: {len(late)}, allowed {RETRIES_MAX}; others "
-        f"answered 200: {others.count(200)} of {len(others)}"
-    )
-    if 200 not in others:
+        machine = deployment.machine_at(addresses[0])
+        callers = [Caller(n, deployment, random_source) for n in range(CONNECTIONS)]
+        tasks = [asyncio.create_task(c.run(machine.front)) for c in callers]
+        await asyncio.sleep(BEFORE_S)
+        if trouble:
+            deployment.signal(machine, signal.SIGTERM)
+        await asyncio.sleep(GRACE_S)
+        for caller in callers:
+            caller.stop()
+        await asyncio.wait(tasks, timeout=5.0)
+        for task in tasks:
+            task.cancel()
+        runs = deployment.all_runs()
+    cut = [r for c in callers for r in c.cut if r in runs]
+    sent = sum(c.sent for c in callers)
+    answered = sum(c.answered for c in callers)
+    for request_id in cut:
+        record.write("cut-off-after-it-ran", request=request_id)
+    print(f"sent {sent}, answered 200 {answered}, run and cut off {len(cut)}")
+    if not answered:
         sys.exit(2)
-    return len(late) <= RETRIES_MAX
+    return not cut
 
 
 if __name__ == "__main__":
--- a/review/endpoint.py
+++ b/review/endpoint.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import math
 import time
 
 __all__ = ["Endpoint"]
@@ -25,10 +24,7 @@
     Attributes:
         address: Pair of IP and port.
         runs: Dict of the time at which it began to run a request, by request id.
-        arrivals: Dict of the time at which a request arrived, by request id.
-        cold_since_s: Time at which it last became cold.
         cold_until_s: Time until which it is cold.
-        crashes_above: Number of requests in one second that crash it while it is cold.
         on_crash: Function that is called with it after its crash.
         crashed_by: Value of Authorization of the requests that crash it.
         endless_body: Bytes that it repeats in the body of its answers, or None.
@@ -39,10 +35,7 @@
         self.slots = slots
         self.address = None
         self.runs = {}
-        self.arrivals = {}
-        self.cold_since_s = 0.0
         self.cold_until_s = 0.0
-        self.crashes_above = math.inf
         self.on_crash = lambda endpoint: None
         self.crashed_by = None
         self.endless_body = None
@@ -71,8 +64,7 @@
 
     def become_cold(self, seconds):
         """Be cold for some seconds from now on."""
-        self.cold_since_s = time.monotonic()
-        self.cold_until_s = self.cold_since_s + seconds
+        self.cold_until_s = time.monotonic() + seconds
 
     async def _serve(self, reader, writer):
         self._writers.add(writer)
@@ -105,8 +97,7 @@
             return await self._send(writer, 421, headers, b"")
         request_id = fields["sesamespring-request-id"]
         headers = {"Sesamespring-Request-Id": request_id}
-        self.arrivals[request_id] = time.monotonic()
-        if self._is_overrun() or self._is_fatal(fields):
+        if self._is_fatal(fields):
             self.runs[request_id] = time.monotonic()
             self.close()
             self._record.write("crash", endpoint=self.name, request=request_id)
@@ -129,12 +120,6 @@
         body = f"answer to {request_id}".encode()
         return await self._send(writer, 200, headers, body)
 
-    def _is_overrun(self):
-        if not self.cold_left_ms:
-            return False
-        since_s = max(self.cold_since_s, time.monotonic() - 1.0)
-        return sum(at > since_s for at in self.arrivals.values()) > self.crashes_above
-
     def _is_fatal(self, fields):
         caller = fields.get("authorization")
         return caller is not None and caller == self.crashed_by
