Divide the gateway into packages by concern

Change: callers, slots, targets, members and store; moved files only, with their imports. Imports of all modules were tried; no logic was changed.

--- /dev/null
+++ b/sesamespring/gateway/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Requests of callers: connections, checks, bodies, responses and forwarding."""
--- a/sesamespring/gateway/caller_responses.py
+++ b/sesamespring/gateway/callers/caller_responses.py
@@ -4,7 +4,7 @@
 
 import h11
 
-from sesamespring.gateway.attempt_data import without_framing
+from sesamespring.gateway.targets.attempt_data import without_framing
 from sesamespring.http.channel import BODILESS_STATUSES
 from sesamespring.http.headers import end_to_end_headers, header
 
--- a/sesamespring/gateway/forwarding.py
+++ b/sesamespring/gateway/callers/forwarding.py
@@ -7,22 +7,22 @@
 import h11
 from returns.result import Failure
 
-from sesamespring.gateway.attempt import Attempt
-from sesamespring.gateway.attempt_data import (
-    AttemptResult,
-    OutgoingRequest,
-    without_framing,
-)
-from sesamespring.gateway.attempt_history import AttemptHistory, LocalResponse
-from sesamespring.gateway.bodies import BodyTooSlow, read_body
-from sesamespring.gateway.caller_responses import (
+from sesamespring.gateway.callers.attempt_history import AttemptHistory, LocalResponse
+from sesamespring.gateway.callers.bodies import BodyTooSlow, read_body
+from sesamespring.gateway.callers.caller_responses import (
     ResponseAborted,
     send_response,
     stream_response,
 )
-from sesamespring.gateway.content_admission import ContentAdmission
-from sesamespring.gateway.request_checks import check_request
-from sesamespring.gateway.request_report import RequestReport
+from sesamespring.gateway.callers.content_admission import ContentAdmission
+from sesamespring.gateway.callers.request_checks import check_request
+from sesamespring.gateway.callers.request_report import RequestReport
+from sesamespring.gateway.targets.attempt import Attempt
+from sesamespring.gateway.targets.attempt_data import (
+    AttemptResult,
+    OutgoingRequest,
+    without_framing,
+)
 from sesamespring.http.headers import FRAMING_HEADERS, end_to_end_headers
 from sesamespring.http.incoming import CallerDisconnected
 from sesamespring.platform.headers import (
--- a/sesamespring/gateway/request_checks.py
+++ b/sesamespring/gateway/callers/request_checks.py
@@ -3,7 +3,7 @@
 import attrs
 from returns.result import Failure, Success
 
-from sesamespring.gateway.attempt_history import LocalResponse
+from sesamespring.gateway.callers.attempt_history import LocalResponse
 from sesamespring.http.headers import header
 from sesamespring.platform.headers import read_request_id, read_timeout_s
 
--- a/sesamespring/gateway/daemon.py
+++ b/sesamespring/gateway/daemon.py
@@ -8,16 +8,13 @@
 from returns.result import Failure
 
 from sesamespring.errors import UserError
-from sesamespring.gateway.address_rows import AddressRows
-from sesamespring.gateway.caller_connections import CallerConnections
-from sesamespring.gateway.cluster_state import ClusterState
+from sesamespring.gateway.callers.caller_connections import CallerConnections
+from sesamespring.gateway.callers.forwarding import RequestForwarder
+from sesamespring.gateway.callers.request_quarantine import RequestQuarantine
 from sesamespring.gateway.coalesced_call import CoalescedCall
-from sesamespring.gateway.connection_pool import TargetConnectionPool
 from sesamespring.gateway.context import GatewayContext
 from sesamespring.gateway.counters import Counters
-from sesamespring.gateway.datagrams import open_datagrams
 from sesamespring.gateway.event_log import EventLog
-from sesamespring.gateway.forwarding import RequestForwarder
 from sesamespring.gateway.generated.ttypes import CrashRecords
 from sesamespring.gateway.http_handlers import (
     DIRECTORY_TTL_S,
@@ -25,19 +22,22 @@
     InternalHandler,
     ReadinessHandler,
 )
-from sesamespring.gateway.peers import Peers
-from sesamespring.gateway.prober import Prober
-from sesamespring.gateway.quarantine_rows import QuarantineRows
-from sesamespring.gateway.relay_server import RelayServer
-from sesamespring.gateway.request_quarantine import RequestQuarantine
-from sesamespring.gateway.services import Services
-from sesamespring.gateway.slot_client import SlotClient
-from sesamespring.gateway.slot_server import SlotServer
+from sesamespring.gateway.members.datagrams import open_datagrams
+from sesamespring.gateway.members.peers import Peers
+from sesamespring.gateway.slots.services import Services
+from sesamespring.gateway.slots.slot_client import SlotClient
+from sesamespring.gateway.slots.slot_server import SlotServer
+from sesamespring.gateway.store.address_rows import AddressRows
+from sesamespring.gateway.store.cluster_state import ClusterState
+from sesamespring.gateway.store.quarantine_rows import QuarantineRows
+from sesamespring.gateway.store.table_sync import FeedServer, PollTiming, TableSync
 from sesamespring.gateway.supervision import describe_error, run_supervised
-from sesamespring.gateway.table_sync import FeedServer, PollTiming, TableSync
-from sesamespring.gateway.target_availability import TargetAvailability
-from sesamespring.gateway.target_limits import TargetLimits
-from sesamespring.gateway.target_paths import TargetPaths
+from sesamespring.gateway.targets.connection_pool import TargetConnectionPool
+from sesamespring.gateway.targets.prober import Prober
+from sesamespring.gateway.targets.relay_server import RelayServer
+from sesamespring.gateway.targets.target_availability import TargetAvailability
+from sesamespring.gateway.targets.target_limits import TargetLimits
+from sesamespring.gateway.targets.target_paths import TargetPaths
 from sesamespring.http.pipeline import ServerLimits
 from sesamespring.platform.operator_table import OPERATOR_TABLE
 from sesamespring.platform.registrations import TARGETS_TABLE
--- a/sesamespring/gateway/http_handlers.py
+++ b/sesamespring/gateway/http_handlers.py
@@ -1,7 +1,7 @@
 """Handle HTTP requests for the directory, readiness, metrics and table copies."""
 
 from sesamespring.gateway.metrics import CONTENT_TYPE, render
-from sesamespring.gateway.relay_messages import parse_reachability_path
+from sesamespring.gateway.targets.relay_messages import parse_reachability_path
 from sesamespring.platform.directory import (
     encode_resolve_response,
     is_readiness_check,
--- /dev/null
+++ b/sesamespring/gateway/members/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between the entry VMs, and which of them are alive."""
--- a/sesamespring/gateway/datagrams.py
+++ b/sesamespring/gateway/members/datagrams.py
@@ -3,8 +3,8 @@
 import asyncio
 
 from sesamespring.fields import MalformedField
-from sesamespring.gateway.datagram_checks import check_message
 from sesamespring.gateway.generated.ttypes import Datagram
+from sesamespring.gateway.members.datagram_checks import check_message
 from sesamespring.gateway.supervision import describe_error
 from sesamespring.thrift_codec import FrameError, UnionCodec
 
--- a/sesamespring/gateway/peers.py
+++ b/sesamespring/gateway/members/peers.py
@@ -16,12 +16,12 @@
     MemberStates,
     StatesWanted,
 )
-from sesamespring.gateway.member_messages import (
+from sesamespring.gateway.members.member_messages import (
     decode_member,
     encode_member,
     join_address,
 )
-from sesamespring.gateway.peer_addresses import PeerAddresses
+from sesamespring.gateway.members.peer_addresses import PeerAddresses
 from sesamespring.routing.gossip import (
     GOSSIP_INTERVAL_S,
     VMS_ALL_TO_ALL_MAX,
--- a/sesamespring/gateway/services.py
+++ b/sesamespring/gateway/slots/services.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from sesamespring.gateway.runner import ServiceRunner
+from sesamespring.gateway.slots.runner import ServiceRunner
 from sesamespring.routing.retry_budget import RetryBudget
 from sesamespring.routing.scheduler import ServiceScheduler
 from sesamespring.routing.vm_selection import decider_order, vms_for_callers
--- a/sesamespring/gateway/slot_client.py
+++ b/sesamespring/gateway/slots/slot_client.py
@@ -17,12 +17,12 @@
     SlotRefused,
     SlotWithdrawn,
 )
-from sesamespring.gateway.slot_messages import (
+from sesamespring.gateway.slots.slot_messages import (
     decode_refused,
     encode_ended,
     encode_wanted,
 )
-from sesamespring.gateway.slot_request import Grant, SlotRequest
+from sesamespring.gateway.slots.slot_request import Grant, SlotRequest
 from sesamespring.routing.messages import (
     AttemptEnded,
     Dispatch,
--- a/sesamespring/gateway/slot_server.py
+++ b/sesamespring/gateway/slots/slot_server.py
@@ -10,7 +10,7 @@
     SlotWanted,
     SlotWithdrawn,
 )
-from sesamespring.gateway.slot_messages import (
+from sesamespring.gateway.slots.slot_messages import (
     decode_ended,
     decode_wanted,
     encode_reply,
--- /dev/null
+++ b/sesamespring/gateway/store/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's store: its tables, their copies on this VM, and the state in them."""
--- a/sesamespring/gateway/cluster_state.py
+++ b/sesamespring/gateway/store/cluster_state.py
@@ -8,7 +8,7 @@
 import attrs
 from returns.result import Failure, Success
 
-from sesamespring.gateway.replica import TableReplica
+from sesamespring.gateway.store.replica import TableReplica
 from sesamespring.platform.operator_table import (
     CONFIGURATION_KEY,
     OPERATOR_TABLE,
--- /dev/null
+++ b/sesamespring/gateway/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Connections and attempts to targets, and what targets state."""
--- a/sesamespring/gateway/attempt.py
+++ b/sesamespring/gateway/targets/attempt.py
@@ -6,18 +6,18 @@
 import attrs
 import h11
 
-from sesamespring.gateway.attempt_data import (
+from sesamespring.gateway.targets.attempt_data import (
     AttemptResult,
     RelayEndpoint,
     TargetResponse,
 )
-from sesamespring.gateway.connection_pool import LinkState
-from sesamespring.gateway.relay_messages import (
+from sesamespring.gateway.targets.connection_pool import LinkState
+from sesamespring.gateway.targets.relay_messages import (
     TARGET_DOWN,
     relay_outcome,
     relay_request_headers,
 )
-from sesamespring.gateway.target_paths import BreakCause
+from sesamespring.gateway.targets.target_paths import BreakCause
 from sesamespring.http.channel import ChannelClosed
 from sesamespring.platform.headers import parse_response_headers, target_request_headers
 from sesamespring.routing.messages import AttemptEnded, Outcome
--- a/sesamespring/gateway/relay_messages.py
+++ b/sesamespring/gateway/targets/relay_messages.py
@@ -5,7 +5,7 @@
 import attrs
 
 from sesamespring.fields import parse_digits
-from sesamespring.gateway.connection_pool import LinkState
+from sesamespring.gateway.targets.connection_pool import LinkState
 from sesamespring.http.headers import header
 
 __all__ = [
--- a/sesamespring/gateway/relay_server.py
+++ b/sesamespring/gateway/targets/relay_server.py
@@ -5,16 +5,16 @@
 import attrs
 import h11
 
-from sesamespring.gateway.attempt import Attempt
-from sesamespring.gateway.attempt_data import OutgoingRequest, without_framing
-from sesamespring.gateway.bodies import BodyTooSlow, read_body
-from sesamespring.gateway.caller_responses import (
+from sesamespring.gateway.callers.bodies import BodyTooSlow, read_body
+from sesamespring.gateway.callers.caller_responses import (
     ResponseAborted,
     send_response,
     stream_response,
 )
-from sesamespring.gateway.connection_pool import LinkState
-from sesamespring.gateway.relay_messages import (
+from sesamespring.gateway.targets.attempt import Attempt
+from sesamespring.gateway.targets.attempt_data import OutgoingRequest, without_framing
+from sesamespring.gateway.targets.connection_pool import LinkState
+from sesamespring.gateway.targets.relay_messages import (
     NOT_SENT,
     STATUS_OF_LINK,
     TARGET_DOWN,
--- a/sesamespring/gateway/target_paths.py
+++ b/sesamespring/gateway/targets/target_paths.py
@@ -6,8 +6,8 @@
 import attrs
 import h11
 
-from sesamespring.gateway.connection_pool import LinkState
-from sesamespring.gateway.relay_messages import (
+from sesamespring.gateway.targets.connection_pool import LinkState
+from sesamespring.gateway.targets.relay_messages import (
     TARGET_DOWN,
     link_of_status,
     reachability_path,
--- a/soak/shifted.py
+++ b/soak/shifted.py
@@ -26,7 +26,7 @@
 
 def cut_links(ip, cut):
     """Make connections to targets from an IP address, and fail while a file exists."""
-    from sesamespring.gateway import connection_pool
+    from sesamespring.gateway.targets import connection_pool
 
     open_channel = connection_pool.open_channel
 
--- a/tests/gateway/cluster.py
+++ b/tests/gateway/cluster.py
@@ -12,7 +12,7 @@
 import attrs
 
 from sesamespring.gateway.daemon import GatewayDaemon
-from sesamespring.gateway.datagrams import DatagramSocket
+from sesamespring.gateway.members.datagrams import DatagramSocket
 from sesamespring.http.channel import open_channel
 from sesamespring.platform.settings import Bounds, VmSettings
 from standins.platform_target import PlatformTarget
@@ -117,7 +117,7 @@
         for number in range(STORE_ADDRESSES):
             await self.store.start(*self.store_address(number))
         self._stack.callback(self.store.close)
-        name = "sesamespring.gateway.connection_pool.open_channel"
+        name = "sesamespring.gateway.targets.connection_pool.open_channel"
         self._stack.enter_context(mock.patch(name, self._open_channel))
         await self.store.put("op", "config", configuration())
         for number in range(len(self.targets)):
--- a/tests/gateway/message_examples.py
+++ b/tests/gateway/message_examples.py
@@ -51,8 +51,8 @@
 
 def print_examples():
     """Print the examples of the build that Python finds, as JSON."""
-    from sesamespring.gateway.datagrams import _codec
     from sesamespring.gateway.generated.ttypes import Datagram
+    from sesamespring.gateway.members.datagrams import _codec
 
     examples = {}
     for spec in filter(None, Datagram.thrift_spec):
--- a/tests/gateway/test_address_rows.py
+++ b/tests/gateway/test_address_rows.py
@@ -9,8 +9,8 @@
 from returns.result import Failure, Success
 
 from sesamespring.errors import ErrorKind, ExternalError
-from sesamespring.gateway import address_rows
-from sesamespring.gateway.address_rows import AddressRows
+from sesamespring.gateway.store import address_rows
+from sesamespring.gateway.store.address_rows import AddressRows
 from sesamespring.platform.rows import (
     ABSENT_VERSION,
     RowConflict,
--- a/tests/gateway/test_attempt_history.py
+++ b/tests/gateway/test_attempt_history.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from sesamespring.gateway.attempt_data import AttemptResult, TargetResponse
-from sesamespring.gateway.attempt_history import AttemptHistory, LocalResponse
+from sesamespring.gateway.callers.attempt_history import AttemptHistory, LocalResponse
+from sesamespring.gateway.targets.attempt_data import AttemptResult, TargetResponse
 from sesamespring.routing.messages import AttemptEnded, Outcome
 
 
--- a/tests/gateway/test_cluster_state.py
+++ b/tests/gateway/test_cluster_state.py
@@ -5,9 +5,9 @@
 
 import pytest
 
-from sesamespring.gateway import replica as replica_module
-from sesamespring.gateway.cluster_state import ClusterState
-from sesamespring.gateway.replica import GAP_MIN_S, TableReplica
+from sesamespring.gateway.store import replica as replica_module
+from sesamespring.gateway.store.cluster_state import ClusterState
+from sesamespring.gateway.store.replica import GAP_MIN_S, TableReplica
 from sesamespring.platform.rows import StoredRow, TableChanges
 
 START_S = 1000.0
--- a/tests/gateway/test_content_admission.py
+++ b/tests/gateway/test_content_admission.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from sesamespring.gateway.content_admission import ContentAdmission
+from sesamespring.gateway.callers.content_admission import ContentAdmission
 from sesamespring.routing.messages import Outcome
 from sesamespring.routing.quarantine import (
     CRASHES_MAX,
--- a/tests/gateway/test_earlier_builds.py
+++ b/tests/gateway/test_earlier_builds.py
@@ -6,8 +6,8 @@
 from thrift.protocol.TBase import TBase
 from thrift.Thrift import TType
 
-from sesamespring.gateway.datagrams import DatagramSocket, _codec
 from sesamespring.gateway.generated.ttypes import Datagram, SlotQueued
+from sesamespring.gateway.members.datagrams import DatagramSocket, _codec
 from sesamespring.thrift_codec import UnionCodec
 from tests.gateway.message_examples import DATA, example
 
--- a/tests/gateway/test_feed_server.py
+++ b/tests/gateway/test_feed_server.py
@@ -3,9 +3,9 @@
 import asyncio
 import json
 
-from sesamespring.gateway import table_sync
-from sesamespring.gateway.replica import TableReplica
-from sesamespring.gateway.table_sync import FeedServer
+from sesamespring.gateway.store import table_sync
+from sesamespring.gateway.store.replica import TableReplica
+from sesamespring.gateway.store.table_sync import FeedServer
 from sesamespring.platform.rows import (
     RowsRequest,
     StoredRow,
--- a/tests/gateway/test_odd_messages.py
+++ b/tests/gateway/test_odd_messages.py
@@ -7,8 +7,6 @@
 import pytest
 
 from sesamespring.fields import MalformedField
-from sesamespring.gateway.datagram_checks import check_message
-from sesamespring.gateway.datagrams import _codec
 from sesamespring.gateway.generated.ttypes import (
     CrashRecords,
     Heartbeat,
@@ -18,6 +16,8 @@
     SlotWanted,
     StatesWanted,
 )
+from sesamespring.gateway.members.datagram_checks import check_message
+from sesamespring.gateway.members.datagrams import _codec
 from sesamespring.gateway.supervision import run_supervised
 from tests.gateway.cluster import DIRECTORY_PORT, INTERNAL_PORT, READY_PORT
 from tests.gateway.message_examples import example
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from sesamespring.gateway.callers.request_quarantine import RequestQuarantine
 from sesamespring.gateway.counters import Counters
 from sesamespring.gateway.generated.ttypes import (
     Heartbeat,
@@ -14,9 +15,8 @@
     MemberStates,
     StatesWanted,
 )
-from sesamespring.gateway.peers import Peers
-from sesamespring.gateway.request_quarantine import RequestQuarantine
-from sesamespring.gateway.target_limits import TargetLimits
+from sesamespring.gateway.members.peers import Peers
+from sesamespring.gateway.targets.target_limits import TargetLimits
 
 VMS = 60
 OWN_STATE = {
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from sesamespring.gateway.caller_connections import CallerConnections
+from sesamespring.gateway.callers.caller_connections import CallerConnections
 from tests.gateway.cluster import (
     CALLERS_PORT,
     HOST,
--- a/tests/gateway/test_quarantine.py
+++ b/tests/gateway/test_quarantine.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from sesamespring.gateway.quarantine_rows import QUARANTINE_TABLE
+from sesamespring.gateway.store.quarantine_rows import QUARANTINE_TABLE
 from tests.gateway.test_faults import wait_until
 from tests.gateway.test_forwarding import run_scenario
 from tests.gateway.test_store_restored import restart
--- a/tests/gateway/test_quarantine_rows.py
+++ b/tests/gateway/test_quarantine_rows.py
@@ -6,7 +6,7 @@
 import pytest
 from returns.result import Failure
 
-from sesamespring.gateway.quarantine_rows import decode_record, encode_record
+from sesamespring.gateway.store.quarantine_rows import decode_record, encode_record
 from sesamespring.routing.quarantine import MEMORY_S, CrashRecord
 
 
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from sesamespring.gateway.relay_messages import relay_request_headers
-from sesamespring.gateway.target_paths import TargetPaths
+from sesamespring.gateway.targets.relay_messages import relay_request_headers
+from sesamespring.gateway.targets.target_paths import TargetPaths
 from tests.gateway.cluster import INTERNAL_PORT
 from tests.gateway.test_faults import wait_until
 from tests.gateway.test_forwarding import run_scenario
--- a/tests/gateway/test_replica.py
+++ b/tests/gateway/test_replica.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from sesamespring.gateway.replica import TableReplica
+from sesamespring.gateway.store.replica import TableReplica
 from sesamespring.platform.registrations import (
     is_earlier_registration,
     same_registration,
--- a/tests/gateway/test_slot_client.py
+++ b/tests/gateway/test_slot_client.py
@@ -11,7 +11,7 @@
     SlotRefused,
     SlotWanted,
 )
-from sesamespring.gateway.slot_client import (
+from sesamespring.gateway.slots.slot_client import (
     END_RESEND_DELAYS_S,
     RESPONSE_TIMEOUT_S,
     SENDS_MAX,
--- a/tests/gateway/test_slot_server.py
+++ b/tests/gateway/test_slot_server.py
@@ -4,8 +4,8 @@
 import types
 
 from sesamespring.gateway.generated.ttypes import SlotEnded, SlotGranted, SlotWanted
-from sesamespring.gateway.runner import ServiceRunner
-from sesamespring.gateway.slot_server import SlotServer
+from sesamespring.gateway.slots.runner import ServiceRunner
+from sesamespring.gateway.slots.slot_server import SlotServer
 from sesamespring.routing.messages import Outcome
 from tests.routing.support import make_scheduler, make_target
 
--- a/tests/gateway/test_table_sync.py
+++ b/tests/gateway/test_table_sync.py
@@ -6,9 +6,9 @@
 import attrs
 
 from sesamespring.errors import ErrorKind, ExternalError
-from sesamespring.gateway import table_sync
-from sesamespring.gateway.replica import TableReplica
-from sesamespring.gateway.table_sync import STARTUP_DELAY_S, PollTiming, TableSync
+from sesamespring.gateway.store import table_sync
+from sesamespring.gateway.store.replica import TableReplica
+from sesamespring.gateway.store.table_sync import STARTUP_DELAY_S, PollTiming, TableSync
 from sesamespring.platform.rows import TableChanges
 from sesamespring.routing.membership import Member
 
--- a/tests/gateway/test_target_paths.py
+++ b/tests/gateway/test_target_paths.py
@@ -5,9 +5,9 @@
 
 import attrs
 
-from sesamespring.gateway.attempt_data import RelayEndpoint
-from sesamespring.gateway.connection_pool import TargetConnectionPool
-from sesamespring.gateway.target_paths import TargetPaths
+from sesamespring.gateway.targets.attempt_data import RelayEndpoint
+from sesamespring.gateway.targets.connection_pool import TargetConnectionPool
+from sesamespring.gateway.targets.target_paths import TargetPaths
 
 
 @attrs.define
--- a/tests/http/test_pipeline.py
+++ b/tests/http/test_pipeline.py
@@ -6,7 +6,7 @@
 import h11
 import pytest
 
-from sesamespring.gateway.caller_connections import CallerConnections
+from sesamespring.gateway.callers.caller_connections import CallerConnections
 
 HOST = "127.0.0.1"
 READ_TIMEOUT_S = 3.0
