Give records, settings and the slot datagram the fields of accounts and roll-outs

Change: Account, keys and public routes; a target's version; a request's account (also in SlotWanted, optional); bounds of quotas and roll-outs, absent unless stated; a process's memory. Nothing reads them yet; datagrams of earlier builds decode as before.

--- a/sesamespring/gateway/datagrams.thrift
+++ b/sesamespring/gateway/datagrams.thrift
@@ -94,6 +94,8 @@
   12: required string data_centre
   /* Whether it has been sent to a target before. */
   13: optional bool extra
+  /* Client account that sends it; absent without accounts. */
+  14: optional string account
 }
 
 /* Says that a request waits in the queue. */
--- a/sesamespring/gateway/slots/slot_messages.py
+++ b/sesamespring/gateway/slots/slot_messages.py
@@ -42,6 +42,7 @@
         tried=[target_id for target_id, _ in request.tried],
         data_centre=request.data_centre,
         extra=request.extra,
+        account=request.account or None,
     )
 
 
@@ -63,6 +64,7 @@
         idempotent=message.idempotent,
         attempts_left=message.attempts_left,
         data_centre=message.data_centre,
+        account=message.account or "",
     )
 
 
--- a/sesamespring/platform/registrations.py
+++ b/sesamespring/platform/registrations.py
@@ -97,7 +97,6 @@
 
 
 def _decode(row_id, body):
-    text(body["version"])
     integer(body["sequence"])
     return TargetEntry(
         id=row_id,
@@ -109,6 +108,7 @@
         slots=integer(body["slots"], 1, SLOTS_MAX),
         leaving=_is_leaving(body["state"]),
         cold_left_s=number(body["warmupLeftMs"], maximum=COLD_MS_MAX) / 1000,
+        version=text(body["version"]),
     )
 
 
--- a/sesamespring/platform/settings.py
+++ b/sesamespring/platform/settings.py
@@ -25,6 +25,15 @@
         cold_slack: Requests allowed in addition, in each second.
         resolve_ttl_max_s: Maximum TTL of the directory's responses, in seconds.
         probes_per_s: Maximum number of health checks of a target per second.
+        quota_window_s: Length of the windows in which an account's quota holds, in
+            seconds, or None without quotas.
+        quota_overage: Part of a quota by which it may be exceeded in a window.
+        quota_slack: Requests allowed in addition, in each window.
+        exposure_share: Part of a service's requests that a bad version may get during a
+            roll-out, or None without roll-outs.
+        exposure_slack: Requests that it may get in addition.
+        rollback_s: Time within which a bad version gets no more requests once it has
+            failed often enough, in seconds.
     """
 
     stop_s: float
@@ -35,6 +44,12 @@
     cold_slack: float
     resolve_ttl_max_s: float
     probes_per_s: float
+    quota_window_s: float | None = None
+    quota_overage: float = 0.0
+    quota_slack: float = 0.0
+    exposure_share: float | None = None
+    exposure_slack: float = 0.0
+    rollback_s: float = 0.0
 
 
 @attrs.frozen
@@ -55,6 +70,7 @@
         cores: Number of cores that the VM may use, which may be fractional.
         link_mbps: Bandwidth of its link, in megabits per second.
         descriptors_max: Maximum number of file descriptors of the process.
+        memory_bytes: Memory of the process, in bytes.
         bounds: The Bounds.
     """
 
@@ -71,6 +87,7 @@
     link_mbps: float
     descriptors_max: int
     bounds: Bounds
+    memory_bytes: int = 300 * 1024 * 1024
 
     @property
     def process_name(self):
@@ -138,6 +155,7 @@
         link_mbps=float(limits["linkMbps"]),
         descriptors_max=int(limits["maxFds"]),
         bounds=_decode_bounds(content["terms"]["bounds"]),
+        memory_bytes=int(limits["memoryMb"]) * 1024 * 1024,
     )
 
 
@@ -151,9 +169,19 @@
         cold_slack=float(bounds["warmupSlack"]),
         resolve_ttl_max_s=float(bounds["ttl_max_s"]),
         probes_per_s=float(bounds["probesPerS"]),
+        quota_window_s=_optional(bounds, "quotaWindowS"),
+        quota_overage=float(bounds.get("quotaOverage", 0.0)),
+        quota_slack=float(bounds.get("quotaSlack", 0.0)),
+        exposure_share=_optional(bounds, "exposureShare"),
+        exposure_slack=float(bounds.get("exposureSlack", 0.0)),
+        rollback_s=float(bounds.get("rollbackMs", 0.0)) / 1000,
     )
 
 
+def _optional(bounds, name):
+    return float(bounds[name]) if name in bounds else None
+
+
 def _address_or_none(listen, name):
     return _address(listen[name]) if name in listen else None
 
--- a/sesamespring/routing/messages.py
+++ b/sesamespring/routing/messages.py
@@ -75,6 +75,7 @@
         data_centre: Data centre of the VM that sends it.
         counted_elsewhere: Whether another VM may have counted it for its retry
             budget.
+        account: Name of the client account that sends it, or an empty string.
     """
 
     number: int
@@ -91,6 +92,7 @@
     extra: bool = False
     data_centre: str = ""
     counted_elsewhere: bool = False
+    account: str = ""
 
     def may_be_sent(self, now_s):
         """Return whether attempts and time are left."""
--- a/sesamespring/routing/records.py
+++ b/sesamespring/routing/records.py
@@ -3,6 +3,7 @@
 import attrs
 
 __all__ = [
+    "Account",
     "Configuration",
     "Limits",
     "LoadReport",
@@ -40,6 +41,7 @@
         priority: Priority of its requests; 0 is the most urgent.
         attempts_max: Maximum number of targets that one request may be sent to.
         shares: Non-empty tuple of Share.
+        public: Whether its requests need no key, although there are accounts.
     """
 
     name: str
@@ -51,6 +53,26 @@
     priority: int
     attempts_max: int
     shares: tuple
+    public: bool = False
+
+
+@attrs.frozen
+class Account:
+    """A client account as declared by the operator.
+
+    Attributes:
+        name: Name of the account.
+        priority: Priority of its requests, which goes before that of their route; 0 is
+            the most urgent. None if the route's priority holds.
+        rate_per_s: Requests per second that it may send to all VMs together, or 0 if
+            there is no limit.
+        burst: Requests that it may send beyond that after a pause.
+    """
+
+    name: str
+    priority: int | None
+    rate_per_s: float = 0.0
+    burst: float = 0.0
 
 
 @attrs.frozen
@@ -96,12 +118,16 @@
         routes: Tuple of Route.
         services: Dict of ServiceDeclaration by name.
         limits: The Limits.
+        accounts: Dict of Account by name, or None if requests need no key.
+        account_names: Dict of account name by key; keys are secret, in bytes.
     """
 
     version: int
     routes: tuple
     services: dict
     limits: Limits
+    accounts: dict | None = None
+    account_names: dict = attrs.field(factory=dict, repr=False)
 
 
 @attrs.frozen
@@ -117,6 +143,7 @@
         slots: Maximum number of requests that it runs concurrently.
         leaving: Whether it is draining and gets no new requests.
         cold_left_s: Remaining duration of its cold start, in seconds.
+        version: Version of its software.
     """
 
     id: str
@@ -127,6 +154,7 @@
     slots: int
     leaving: bool
     cold_left_s: float
+    version: str = ""
 
     @property
     def key(self):
