--- a/tests/entry/support.py
+++ b/tests/entry/support.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import os
 import time
 
 import attrs
@@ -16,8 +15,9 @@
 from sesamespring.errors import ErrorKind
 from sesamespring.http import ServerConnections, listen
 from sesamespring.resources import Service, Target
+from tests.loopback import loopback_ip
 
-HOST = os.environ.get("ESTATE_HOST", "127.0.0.1")
+HOST = loopback_ip(0, 1)
 INCARNATION = "00112233aabbccdd"
 WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole"
 
--- a/tests/gateway/cluster.py
+++ b/tests/gateway/cluster.py
@@ -1,6 +1,6 @@
 """Run a store, targets and entry VMs on loopback addresses in one process.
 
-Each Cluster uses a network of its own below 127.0.0.0/16.
+Each Cluster uses a subnet of its own in the network of the test process.
 """
 
 import asyncio
@@ -17,6 +17,7 @@
 from sesamespring.platform.settings import Bounds, VmSettings
 from standins.platform_target import PlatformTarget
 from standins.store import FakeStore
+from tests.loopback import loopback_ip
 
 HOST = "a.example"
 SERVICE = "reader"
@@ -102,10 +103,10 @@
         ]
         network = next(_networks)
         self._seeds = seeds
-        self.ips = [f"127.0.{network}.{number + 1}" for number in range(vms)]
+        self.ips = [loopback_ip(network, number + 1) for number in range(vms)]
         # Each VM has its own address of the store, so that a test can cut off one VM.
-        self._store_host = f"127.0.{network}.2"
-        self._target_host = f"127.0.{network}.150"
+        self._store_host = loopback_ip(network, 2)
+        self._target_host = loopback_ip(network, 150)
         self._stack = contextlib.AsyncExitStack()
         self._stops = {}
         self._tasks = {}
--- a/tests/http/test_pipeline.py
+++ b/tests/http/test_pipeline.py
@@ -7,8 +7,9 @@
 import pytest
 
 from sesamespring.gateway.callers.caller_connections import CallerConnections
+from tests.loopback import loopback_ip
 
-HOST = "127.0.0.1"
+HOST = loopback_ip(0, 1)
 READ_TIMEOUT_S = 3.0
 
 
--- a/tests/http/test_tls.py
+++ b/tests/http/test_tls.py
@@ -1,7 +1,6 @@
 """Test that only clients that use TLS and trust the server's CA are served."""
 
 import asyncio
-import os
 import ssl
 from pathlib import Path
 
@@ -20,7 +19,8 @@
 FOLDER = Path(__file__).parent / "tls"
 CERTIFICATE = str(FOLDER / "certificate.pem")
 PRIVATE_KEY = str(FOLDER / "private_key.pem")
-HOST = os.environ.get("ESTATE_HOST", "127.0.0.1")
+# The name in the certificate; the port is a free one.
+HOST = "127.0.0.1"
 BODY = b"x" * 300_000
 
 
--- a/tests/peers/test_bad_frames.py
+++ b/tests/peers/test_bad_frames.py
@@ -3,7 +3,6 @@
 import asyncio
 import hashlib
 import hmac
-import os
 import struct
 
 import attrs
@@ -25,8 +24,9 @@
     open_link,
 )
 from sesamespring.peers.link import new_nonce
+from tests.loopback import loopback_ip
 
-HOST = os.environ.get("ESTATE_HOST", "127.0.0.1")
+HOST = loopback_ip(0, 1)
 KEYS = (b"shared",)
 BODIES = (
     Heartbeat(1, 2, "d", 3, True, False),
--- a/tests/peers/test_link.py
+++ b/tests/peers/test_link.py
@@ -1,14 +1,14 @@
 """Test which peers an entry VM accepts, also while keys are being rotated."""
 
 import asyncio
-import os
 
 import pytest
 
 from sesamespring.peers import FrameError, Heartbeat, Hello, accept_link, open_link
 from sesamespring.peers.link import new_nonce
+from tests.loopback import loopback_ip
 
-HOST = os.environ.get("ESTATE_HOST", "127.0.0.1")
+HOST = loopback_ip(0, 1)
 OLD, NEW, OTHER = b"old-secret", b"new-secret", b"other-secret"
 
 
--- a/tests/resources/store.py
+++ b/tests/resources/store.py
@@ -6,8 +6,9 @@
 from sesamespring.platform.json_table import JsonTable
 from sesamespring.platform.store import StoreClient
 from standins.store import FakeStore
+from tests.loopback import loopback_ip
 
-HOST = "127.0.6.1"
+HOST = loopback_ip(6, 1)
 TIMEOUT_S = 5.0
 _ports = itertools.count(28_000)
 
--- a/tests/soak/test_link.py
+++ b/tests/soak/test_link.py
@@ -6,9 +6,10 @@
 import pytest
 
 from soak.link import Direction, Link
+from tests.loopback import loopback_ip
 
-SERVER = ("127.0.7.1", 27001)
-LINK = ("127.0.7.2", 27002)
+SERVER = (loopback_ip(7, 1), 27001)
+LINK = (loopback_ip(7, 2), 27002)
 READ_TIMEOUT_S = 0.3
 
 
