--- a/sesamespring/platform/settings.py
+++ b/sesamespring/platform/settings.py
@@ -9,6 +9,9 @@
 
 # Environment variable with the path of the settings file.
 SETTINGS_VARIABLE = "SESAMESPRING_SETTINGS"
+MEGABYTE = 1024 * 1024
+# Memory of a VM whose settings state none.
+MEMORY_MB = 300
 
 
 @attrs.frozen
@@ -87,7 +90,7 @@
     link_mbps: float
     descriptors_max: int
     bounds: Bounds
-    memory_bytes: int = 300 * 1024 * 1024
+    memory_bytes: int = MEMORY_MB * MEGABYTE
 
     @property
     def process_name(self):
@@ -155,7 +158,7 @@
         link_mbps=float(limits["linkMbps"]),
         descriptors_max=int(limits["maxFds"]),
         bounds=_decode_bounds(content["terms"]["bounds"]),
-        memory_bytes=int(limits["memoryMb"]) * 1024 * 1024,
+        memory_bytes=int(limits.get("memoryMb", MEMORY_MB)) * MEGABYTE,
     )
 
 
