Pass on no part of an early response as whole, and no status above 599

Callers saw a whole 200 that was a part: a target answered an upload without a length and closed while the caller was still sending; the end of the connection came before the reset. Also 600 and 999 reached callers as answers.

Cause: the end of the connection ended the response although the request was not sent; the parser takes any three digits from 200 on. Ruled out: resets with unread data, which were seen as such on all ways before (18 cases a way and size).

Change: http/channel.py waits with the end of a response without length until the request's body is sent and 50 ms have shown no reset; statuses above 599 are malformed.

--- a/sesamespring/http/channel.py
+++ b/sesamespring/http/channel.py
@@ -34,6 +34,11 @@
 FRAMING_EXCESS_BYTES_MAX = 16 * 1024
 CHUNK_FRAMING_BYTES = 5
 INTERIM_RESPONSES_MAX = 16
+# Greatest status of HTTP; servers in trouble send others, which mean nothing.
+STATUS_MAX = 599
+# After the end of a response without length, a reset that follows at once shows that
+# the server has not read the request, and that the response may be a part of one.
+RESET_CHECK_S = 0.05
 
 
 class ChannelClosed(ConnectionError):
@@ -104,6 +109,9 @@
         self._method = "GET"
         # Timer that ends a pause of parsing, or None.
         self._parse_timer = None
+        # Timer of the next look for a reset after the end of a response, or None.
+        self._reset_timer = None
+        self._has_request_body = False
         self._interim_responses = 0
         self._framing_excess_bytes = 0
 
@@ -161,16 +169,18 @@
         if self._response is None:
             self._fail(ChannelClosed("connection closed before the response"))
         elif not self._response_ended and self._error is None:
-            try:
-                self._h11.receive_data(b"")
-            except RuntimeError as error:
-                self._fail(ChannelClosed(str(error)))
-            else:
-                self._parse()
+            if self._has_request_body and not self.is_framed:
+                self._check_reset_later()
+                # Keeps the connection open for the rest of the request.
+                return True
+            self._end_response()
         self._fail(ChannelClosed("connection closed by the server"))
+        return False
 
     def connection_lost(self, exc):
         """Fail the exchange in progress and wake its reader and writer."""
+        if self._reset_timer is not None:
+            self._reset_timer.cancel()
         self._fail(ChannelClosed(str(exc) if exc else "connection closed"))
         if self._writable is not None:
             self._writable.set()
@@ -206,6 +216,7 @@
 
     def send_data(self, data):
         """Send a part of the request body; ignored on a failed connection."""
+        self._has_request_body = True
         if self._error is None:
             self._transport.write(self._h11.send(h11.Data(data=data)))
 
@@ -291,6 +302,7 @@
     def _start_response(self, state):
         self._h11 = state
         self._response = None
+        self._has_request_body = False
         self._chunks = []
         self._buffered_bytes = 0
         self._wanted_bytes = 0
@@ -298,6 +310,37 @@
         self._interim_responses = 0
         self._framing_excess_bytes = 0
 
+    def _check_reset_later(self):
+        loop = asyncio.get_running_loop()
+        self._reset_timer = loop.call_later(RESET_CHECK_S, self._check_reset)
+
+    def _check_reset(self):
+        """End the response, once the request was sent and no reset has followed."""
+        self._reset_timer = None
+        if self._error is not None:
+            return
+        sock = self._transport.get_extra_info("socket")
+        if sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            self._fail(ChannelClosed("connection reset after the response"))
+            self._transport.abort()
+            return
+        is_sending = self._h11.our_state is h11.SEND_BODY
+        if is_sending or self._transport.get_write_buffer_size():
+            self._check_reset_later()
+            return
+        self._end_response()
+        self._fail(ChannelClosed("connection closed by the server"))
+        self._transport.close()
+
+    def _end_response(self):
+        """End a response that only the end of the connection ends."""
+        try:
+            self._h11.receive_data(b"")
+        except RuntimeError as error:
+            self._fail(ChannelClosed(str(error)))
+        else:
+            self._parse()
+
     def _take_chunks(self):
         chunks = self._chunks
         self._chunks = []
@@ -337,6 +380,7 @@
 
     def _process_event(self, event):
         if isinstance(event, h11.Response):
+            _check_status(event)
             _check_framing(event)
             self._response = event
         elif isinstance(event, h11.InformationalResponse):
@@ -390,6 +434,11 @@
         self._wake()
 
 
+def _check_status(response):
+    if response.status_code > STATUS_MAX:
+        raise h11.RemoteProtocolError(f"{response.status_code} is no status of HTTP")
+
+
 def _check_framing(response):
     names = [name for name, _ in response.headers]
     if b"content-length" in names and b"transfer-encoding" in names:
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import socket
+import struct
 import time
 
 import attrs
@@ -12,6 +14,7 @@
 EARLY_BODY_DELAY_S = 0.1
 ENDLESS_PART = b"x" * 16_384
 ENDLESS_PAUSE_S = 0.005
+QUIET_S = 0.05
 # Longer than any test.
 SILENCE_S = 3600.0
 
@@ -72,8 +75,12 @@
             ``reset``, ``truncate``, ``unsigned``, ``fail``, ``unframed``, ``extra``,
             ``other-id``, ``early``, ``silent``, ``close``, ``endless-head``,
             ``endless-body``, ``unframed-end``, which ends the target inside a response
-            without length, or ``late-copy``, which sends the response again when the
-            next request arrives on the connection.
+            without length, ``late-copy``, which sends the response again when the
+            next request arrives on the connection, ``early-reset``, which sends part of
+            a response without length before it has read the request's body, and then
+            resets the connection, ``early-close``, which does the same but closes it,
+            having read what has arrived so far, or ``status-TEXT``, whose status is
+            the text.
         ends_on: Function that is called with the ReceivedRequest and its body, and
             returns whether running it ends the target.
         on_end: Function without arguments that is called when it ends by itself.
@@ -97,6 +104,8 @@
         sheds: Function without arguments that is called for each request and returns
             whether to reject it although a slot may be free.
         reject_delay_s: Time that it takes to reject a request, in seconds.
+        reset_delay_s: Time between the part of a response and the reset of the fault
+            ``early-reset``, in seconds.
         health_checks: List of the times at which health checks arrived, on the
             monotonic clock.
         checked_by: List of the IP addresses of the VMs that sent them.
@@ -127,6 +136,7 @@
         self.busy_s = None
         self.sheds = lambda: False
         self.reject_delay_s = 0.0
+        self.reset_delay_s = 0.0
         self.health_checks = []
         self.checked_by = []
         self.endless = False
@@ -239,6 +249,18 @@
                 await asyncio.sleep(EARLY_BODY_DELAY_S)
                 await _read_body(reader, request_headers)
                 return True
+            if fault == "early-close":
+                await _read_until_quiet(reader)
+            if fault in ("early-reset", "early-close"):
+                self.received.append(received)
+                part = b"a part" + self.padding
+                await self._write(
+                    writer, 200, part, self._signature_headers(request_id)
+                )
+                await asyncio.sleep(self.reset_delay_s)
+                if fault == "early-reset":
+                    _reset(writer)
+                return False
             received.body = await _read_body(reader, request_headers)
             self.received.append(received)
             await self._wait_service_time(reader)
@@ -296,6 +318,9 @@
             return await self._send(
                 writer, 200, body, {"Sesamespring-Request-Id": request_id}
             )
+        if fault is not None and fault.startswith("status-"):
+            status = fault.removeprefix("status-")
+            return await self._send(writer, status, body, signature)
         if fault == "fail":
             return await self._send(writer, 500, b"failed", signature)
         if fault == "other-id":
@@ -360,6 +385,23 @@
     return body
 
 
+async def _read_until_quiet(reader):
+    """Read until nothing has arrived for ``QUIET_S``."""
+    with contextlib.suppress(TimeoutError):
+        while True:
+            async with asyncio.timeout(QUIET_S):
+                if not await reader.read(65_536):
+                    return
+
+
+def _reset(writer):
+    """Reset a connection, whatever of it has been read."""
+    sock = writer.get_extra_info("socket")
+    linger = struct.pack("ii", 1, 0)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
 def _client_ip(writer):
     """Return the IP address of a connection's client, or None if it is closed."""
     peer = writer.get_extra_info("peername")
