Give extra attempts to the more urgent requests first, and use half of the slack

Cause: extra attempts were given in the order of rejections, whoever asked; and of the agreed slack a decider among 133 VMs used less than one attempt in a window, as VMs that decide alone have to keep to the same share. Ruled out: the queue, which orders by priority already; no slot was short.

Change: routing/retry_budget.py keeps a reserve for more urgent requests seen in the window; a VM that has decided for a whole window uses a half of the slack, in proportion to the VMs that it hears of those it knows; the other half stays divided among all.

--- a/sesamespring/routing/retry_budget.py
+++ b/sesamespring/routing/retry_budget.py
@@ -1,4 +1,8 @@
-"""Limit the extra attempts of retries and hedges over a sliding window."""
+"""Limit the extra attempts of retries and hedges over a sliding window.
+
+Load it answers: targets that reject a part of all requests for seconds, so that far
+more extra attempts are wanted than agreed. The more urgent requests go first.
+"""
 
 import collections
 
@@ -14,6 +18,11 @@
 SAVED_MIN = 1.0
 # VMs that have not discovered each other yet divide the slack by too small a number.
 SLACK_USED = 0.5
+MOST_URGENT = 0
+# Part of what may be saved up that less urgent requests leave to more urgent ones.
+RESERVED = 0.5
+# Extra attempts that can be saved up beyond the reserve at least.
+UNRESERVED_MIN = 2.0
 
 
 class RetryBudget:
@@ -23,7 +32,8 @@
     within that ratio. It spends it about as evenly as requests come, so that two VMs
     that count the same service one after the other, or two processes of one VM, keep to
     the ratio too. The slack is divided evenly among all VMs that are known, heard or
-    not.
+    not. Requests leave a reserve to more urgent ones, if the service has had any within
+    the window.
 
     Args:
         ratio: Extra attempts allowed for each request.
@@ -46,45 +56,81 @@
         # Extra attempts that requests have earned less those made; below 0 where these
         # were taken from the slack.
         self._balance = 0.0
+        # Time of the last request of each priority.
+        self._priorities = {}
+
+    @property
+    def window_s(self):
+        """Length of the sliding window, in seconds."""
+        return self._window_s
 
-    def record_request(self, now_s):
-        """Count a new request, which raises the budget."""
+    def record_request(self, now_s, priority=MOST_URGENT):
+        """Count a new request, which raises the budget.
+
+        Args:
+            now_s: Current time.
+            priority: Its priority; 0 is the most urgent.
+        """
         self._requests.append(now_s)
+        self._priorities[priority] = now_s
         self._drop_expired(now_s)
-        saved_max = max(SAVED_MIN, RATIO_SAVED * self._ratio * len(self._requests))
         earned = self._balance + RATIO_USED * self._ratio
-        self._balance = max(self._balance, min(earned, saved_max))
+        self._balance = max(self._balance, min(earned, self._saved_max()))
 
-    def allows(self, now_s, vms):
+    def allows(self, now_s, vms, priority=MOST_URGENT):
         """Return whether the budget has room for one more extra attempt.
 
         Args:
             now_s: Current time.
             vms: Number of VMs that share the slack.
+            priority: Priority of the request; 0 is the most urgent.
         """
         self._drop_expired(now_s)
         earned = RATIO_USED * self._ratio * len(self._requests)
         share = SLACK_USED * self._slack / max(1, vms)
-        if self._balance + share < 1:
+        reserve = self._reserve(share, priority, now_s)
+        if self._balance + share - reserve < 1:
             return False
         return len(self._extras) + 1 <= earned + share
 
-    def spend(self, now_s, vms):
+    def spend(self, now_s, vms, priority=MOST_URGENT):
         """Take one extra attempt from the budget.
 
         Args:
             now_s: Current time.
             vms: Number of VMs that share the slack.
+            priority: Priority of the request; 0 is the most urgent.
 
         Returns:
             Whether the attempt is allowed; if not, the budget is unchanged.
         """
-        if not self.allows(now_s, vms):
+        if not self.allows(now_s, vms, priority):
             return False
         self._extras.append(now_s)
         self._balance -= 1
         return True
 
+    def _saved_max(self):
+        """Return how many extra attempts requests may save up for later."""
+        return max(SAVED_MIN, RATIO_SAVED * self._ratio * len(self._requests))
+
+    def _reserve(self, share, priority, now_s):
+        """Return how many extra attempts are left to more urgent requests.
+
+        Args:
+            share: This VM's share of the slack.
+            priority: Priority of the request that wants an extra attempt.
+            now_s: Current time.
+        """
+        oldest_s = now_s - self._window_s
+        if not any(
+            other < priority and seen_s > oldest_s
+            for other, seen_s in self._priorities.items()
+        ):
+            return 0.0
+        most = self._saved_max() + share
+        return max(0.0, min(RESERVED * most, most - UNRESERVED_MIN))
+
     def _drop_expired(self, now_s):
         oldest_s = now_s - self._window_s
         while self._requests and self._requests[0] <= oldest_s:
--- a/sesamespring/routing/scheduler.py
+++ b/sesamespring/routing/scheduler.py
@@ -86,8 +86,8 @@
         if request.number not in self._requests:
             self._requests[request.number] = request
             if not request.counted_elsewhere:
-                self._budget.record_request(now_s)
-        if request.extra and not self._budget.allows(now_s, self._targets.sharing_vms):
+                self._budget.record_request(now_s, request.priority)
+        if request.extra and not self._allows_extra(request, now_s):
             return [refusals.no_attempt_left(request)]
         self._waiting[request.number] = request
         return self._serve_waiting(now_s, True)
@@ -144,7 +144,15 @@
         """Return whether a request may be retried at another target."""
         if not request.may_be_sent(now_s):
             return False
-        return self._budget.allows(now_s, self._targets.sharing_vms)
+        return self._allows_extra(request, now_s)
+
+    def _allows_extra(self, request, now_s):
+        vms = self._targets.sharing_vms(now_s, self._budget.window_s)
+        return self._budget.allows(now_s, vms, request.priority)
+
+    def _spend_extra(self, request, now_s):
+        vms = self._targets.sharing_vms(now_s, self._budget.window_s)
+        return self._budget.spend(now_s, vms, request.priority)
 
     def _is_full_plan_due(self, now_s):
         """Return whether to plan the whole queue now, and not just its head."""
@@ -184,7 +192,7 @@
 
     def _send(self, assignment, now_s, commands):
         request, slot = assignment.request, assignment.slot
-        if request.extra and not self._budget.spend(now_s, self._targets.sharing_vms):
+        if request.extra and not self._spend_extra(request, now_s):
             del self._waiting[request.number]
             commands.append(refusals.no_attempt_left(request))
             return
@@ -254,7 +262,7 @@
             needed_s = slot.end_s(self._service_time_s(request), now_s) - now_s
             if not is_hedge_due(elapsed_s, active.expected_s, needed_s, request, now_s):
                 continue
-            if not self._budget.spend(now_s, self._targets.sharing_vms):
+            if not self._spend_extra(request, now_s):
                 return
             commands.append(self._dispatch(request, slot, now_s, True))
             free.remove(slot)
--- a/sesamespring/routing/service_targets.py
+++ b/sesamespring/routing/service_targets.py
@@ -44,14 +44,23 @@
         """Dict of TargetState by key of the target."""
         return self._states
 
-    @property
-    def sharing_vms(self):
-        """Number of VMs that may spend the slack of extra attempts.
+    def sharing_vms(self, now_s, window_s):
+        """Return the number of VMs that may spend a half of the slack as this one may.
+
+        VMs not heard count too, as they may be serving in another part of a divided
+        network. One that has decided for a whole window shares that half only with the
+        deciders of such parts, in proportion to the VMs that each of them hears; the
+        other half is for VMs that decide alone, and for deciders before that.
 
-        Those not heard count too, as they may be serving in another part of a divided
-        network.
+        Args:
+            now_s: Current time.
+            window_s: Length of the window in which the slack holds, in seconds.
         """
-        return max(self._vms, self._vms_known)
+        known = max(1, self._vms, self._vms_known)
+        since_s = self._planning_since_s
+        if self._shared or since_s is None or now_s - since_s < window_s:
+            return known
+        return known / max(1, self._vms)
 
     @property
     def average_slowdown(self):
--- a/tests/routing/test_retry_budget.py
+++ b/tests/routing/test_retry_budget.py
@@ -109,6 +109,49 @@
     assert total <= slack
 
 
+@pytest.mark.parametrize("vms", [12, 133])
+@pytest.mark.parametrize("parts", [1, 2, 4])
+def test_deciders_of_long_standing_use_half_of_the_slack_and_no_more(vms, parts):
+    slack = 200.0
+    total = 0
+    for number in range(vms):
+        heard = vms // parts + (number % parts < vms % parts)
+        scheduler = make_scheduler(make_target("a", slots=1000), retry_slack=slack)
+        is_decider = number < parts
+        scheduler.targets.set_vms(heard, not is_decider, vms_known=vms)
+        (command,) = scheduler.submit(make_request(0.0, timeout_s=99.0), 0.0)
+        assert isinstance(command, Dispatch)
+        spent = extra_attempts(scheduler, 2 * WINDOW_S)
+        if is_decider:
+            assert spent >= 0.5 * slack * heard / vms - 1
+        total += spent
+    assert total <= slack
+
+
+@pytest.mark.parametrize("takeover_s", [0.5, 4.0, 9.0])
+def test_deciders_that_follow_one_another_stay_within_the_slack(takeover_s):
+    vms, slack = 133, 200.0
+    total = 0
+    begins_s = 2 * WINDOW_S
+    for number in range(5):
+        scheduler = make_scheduler(make_target("a", slots=1000), retry_slack=slack)
+        scheduler.targets.set_vms(vms, False, vms_known=vms)
+        # The first one has decided for long, each other one since the last one ended.
+        since_s = begins_s + number * takeover_s if number else 0.0
+        scheduler.submit(make_request(since_s, timeout_s=99.0), since_s)
+        spends_s = max(begins_s, since_s)
+        if spends_s < begins_s + WINDOW_S:
+            total += extra_attempts(scheduler, spends_s)
+    assert total <= slack
+
+
+def test_service_with_few_requests_leaves_no_reserve():
+    budget = RetryBudget(RATIO, 0.0, WINDOW_S)
+    for number in range(10):
+        budget.record_request(float(number), priority=number % 2)
+    assert budget.spend(9.5, VMS, priority=1)
+
+
 def test_retry_that_the_budget_does_not_allow_is_refused_at_once():
     scheduler = make_scheduler(make_target("a", slots=1), retry_slack=0.0)
     scheduler.submit(make_request(), 0.0)
--- a/tests/routing/test_shedding_targets.py
+++ b/tests/routing/test_shedding_targets.py
@@ -3,6 +3,7 @@
 Each target rejects a part of its requests at once, although it has free slots.
 """
 
+import collections
 import heapq
 import itertools
 import random
@@ -25,6 +26,8 @@
 # Extra attempts for each request that the scheduler may spend: nine tenths of the ratio
 # that ``make_scheduler`` sets.
 EXTRA_RATIO = 0.9 * 0.2
+# A kind of request may be served less often than a less urgent one by this at most.
+URGENCY_SLACK = 0.05
 
 
 class Play:
@@ -34,19 +37,24 @@
         seed: Seed of arrivals, durations and rejections.
         requests_per_s: Average rate of arrivals.
         rejected: Number of rejected attempts of each ``ATTEMPTS_A_BLOCK``.
+        priorities: Priorities of the requests, each as often as the others.
 
     Attributes:
         arrived: Number of requests that arrived while the targets shed load.
         answered: How many of them were answered.
         in_goal: How many of them were answered within the goal.
         unsent: How many of them were refused without having been sent.
+        answered_share: Dict by priority of the share of its requests answered.
     """
 
-    def __init__(self, seed, requests_per_s, rejected):
+    def __init__(self, seed, requests_per_s, rejected, priorities=(1,)):
         self.arrived = 0
         self.answered = 0
         self.in_goal = 0
         self.unsent = 0
+        self._priorities = priorities
+        self._arrived_by_priority = collections.Counter()
+        self._answered_by_priority = collections.Counter()
         self._rng = random.Random(seed)
         self._requests_per_s = requests_per_s
         self._rejected = rejected
@@ -56,6 +64,13 @@
         self._order = itertools.count()
         self._rejections = []
 
+    @property
+    def answered_share(self):
+        return {
+            priority: self._answered_by_priority[priority] / arrived
+            for priority, arrived in self._arrived_by_priority.items()
+        }
+
     def run(self):
         self._at(0.0, self._arrive)
         self._at(0.0, self._replan)
@@ -72,8 +87,12 @@
         return request.due_s - GOAL_S >= SHED_START_S
 
     def _arrive(self, now_s):
-        request = make_request(now_s, goal_s=GOAL_S, timeout_s=TIMEOUT_S)
+        priority = self._rng.choice(self._priorities)
+        request = make_request(
+            now_s, goal_s=GOAL_S, timeout_s=TIMEOUT_S, priority=priority
+        )
         self.arrived += self._is_counted(request)
+        self._arrived_by_priority[priority] += self._is_counted(request)
         self._deliver(self._scheduler.submit(request, now_s), now_s)
         if now_s < END_S:
             self._at(now_s + self._rng.expovariate(self._requests_per_s), self._arrive)
@@ -113,6 +132,7 @@
         if outcome is Outcome.ANSWERED:
             self._scheduler.withdraw(request)
             self.answered += self._is_counted(request)
+            self._answered_by_priority[request.priority] += self._is_counted(request)
             self.in_goal += self._is_counted(request) and now_s <= request.due_s
             return
         request.attempts_left += 1
@@ -136,3 +156,21 @@
     assert play.unsent <= 0.01 * play.arrived
     assert play.answered >= 0.95 * possible * play.arrived
     assert play.in_goal >= 0.9 * possible * play.arrived
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("priorities", [(0, 2), (0, 1, 2), (0, 2, 2, 2)])
+def test_more_urgent_requests_get_the_extra_attempts(seed, priorities):
+    rejected = 11
+    play = Play(seed, 250, rejected, priorities)
+    play.run()
+    sent_on = 1 - rejected / ATTEMPTS_A_BLOCK
+    shares = [share for _, share in sorted(play.answered_share.items())]
+    for urgent_share, other_share in itertools.pairwise(shares):
+        assert urgent_share >= other_share - URGENCY_SLACK
+    # An extra attempt of each fifth request, all of them spent on the most urgent ones.
+    urgent = priorities.count(0) / len(priorities)
+    possible = sent_on + min(1 - sent_on, EXTRA_RATIO * sent_on / urgent)
+    assert shares[0] >= 0.9 * possible
+    total = sent_on + EXTRA_RATIO * sent_on
+    assert play.answered >= 0.95 * total * play.arrived
