Let requests run only with a key of a client account in force

Cause: the configuration's accounts were ignored: the caller's key went to the target, a forged account name too, and nothing asked for a key.

Change: platform/account_decoding.py decodes accounts (a malformed one refuses the configuration, no error shows a key; a key of two accounts names nobody). routing/account_keys.py holds accounts by keyed digest; gateway/store/ configuration_loader.py builds that table in slices of 256 keys, and it takes effect with its configuration. request_checks asks for the key (401), each dispatch asks again, attempts and relays set the account's name and drop the key. The account's priority goes before the route's. Without accounts nothing is asked; the two headers of accounts go to no target.

The log line of a malformed body had the broken trailer, with a key in it: the new test of all output failed on that, and the line has no error text now.

--- a/sesamespring/gateway/callers/forwarding.py
+++ b/sesamespring/gateway/callers/forwarding.py
@@ -15,6 +15,7 @@
     stream_response,
 )
 from sesamespring.gateway.callers.content_admission import ContentAdmission
+from sesamespring.gateway.callers.request_accounts import KEY_UNKNOWN
 from sesamespring.gateway.callers.request_checks import check_request
 from sesamespring.gateway.callers.request_report import RequestReport
 from sesamespring.gateway.targets.attempt import Attempt
@@ -69,6 +70,7 @@
         self._inbox = asyncio.Queue()
         self._report = RequestReport(incoming, context)
         self._route = None
+        self._account = None
         self._service = None
         self._outgoing = None
         self._slot_request = None
@@ -92,11 +94,12 @@
         except BodyTooSlow:
             # Not sent to any target, as the body was not complete.
             self._respond_locally(LocalResponse(408, "body-too-slow"))
-        except h11.ProtocolError as error:
+        except h11.ProtocolError:
             if self._incoming.response_started:
                 self._incoming.abort()
             else:
-                self._respond_locally(LocalResponse(400, f"malformed body: {error}"))
+                # The error's text may have a part of the next request's head.
+                self._respond_locally(LocalResponse(400, "malformed-body"))
 
     async def _wait_until_ready(self):
         """Wait for the configuration and the targets if this VM has just started.
@@ -117,6 +120,7 @@
     async def _forward(self, routed):
         incoming = self._incoming
         route = self._route = routed.route
+        account = self._account = routed.account
         self._service = self._context.routes.choose_service(route)
         self._report.route = route.name
         self._report.service = self._service
@@ -134,13 +138,14 @@
             number=0,
             route=route.name,
             goal_s=route.goal_s,
-            priority=route.priority,
+            priority=account.priority(route),
             due_s=arrived_s + route.goal_s - elapsed_s,
             deadline_s=deadline_s,
             # A body that is streamed cannot be sent to two targets at a time.
             idempotent=route.idempotent and not body.is_streamed,
             attempts_left=route.attempts_max,
             data_centre=self._context.data_centre,
+            account=account.name,
         )
         incoming.on_disconnect = lambda: self._inbox.put_nowait(CALLER_DISCONNECTED)
         timer = self._loop.call_at(deadline_s, self._inbox.put_nowait, DEADLINE_REACHED)
@@ -170,6 +175,7 @@
             framing=[pair for pair in incoming.headers if pair[0] in FRAMING_HEADERS],
             idempotent=self._route.idempotent,
             caller=incoming.caller_ip,
+            account=self._account.name,
         )
 
     def _elapsed_at_caller_s(self, timeout_s):
@@ -231,20 +237,39 @@
         self._respond_finally("quarantined", self._admission.retry_after_s)
 
     def _handle_dispatch(self, dispatch):
-        """Start an attempt unless the content is kept back.
+        """Start an attempt unless the content is kept back or the key has gone.
 
         Returns:
             Whether the request is done.
         """
-        if self._admission.is_permitted():
+        is_key_known = self._is_key_known()
+        if is_key_known and self._admission.is_permitted():
             self._start_attempt(dispatch)
             return False
         self._give_back(dispatch)
         if self._tasks:
             return False
-        self._reject_quarantined()
+        if is_key_known:
+            self._reject_quarantined()
+        else:
+            self._reject_unknown_key()
         return True
 
+    def _is_key_known(self):
+        """Check the key again, and return whether another attempt may start."""
+        self._account.update(self._context.cluster_state.account_keys)
+        if self._outgoing.account != self._account.name:
+            # The key was moved to another account while the request waited.
+            self._outgoing = attrs.evolve(self._outgoing, account=self._account.name)
+        return self._account.permitted
+
+    def _reject_unknown_key(self):
+        """Send the final response to a request whose key was taken away meanwhile."""
+        if self._history.may_have_run:
+            self._respond_finally(KEY_UNKNOWN.reason, None)
+        else:
+            self._respond_locally(KEY_UNKNOWN)
+
     def _start_attempt(self, dispatch):
         self._admission.attempt_started()
         attempt = Attempt(
@@ -329,6 +354,9 @@
         if not self._admission.is_permitted():
             self._reject_quarantined()
             return True
+        if not self._is_key_known():
+            self._reject_unknown_key()
+            return True
         may_retry = may_retry and self._outgoing.body.may_send_again
         if may_retry and self._report.attempts < ATTEMPTS_TOTAL_MAX:
             self._context.slot_client.resubmit(self._slot_request)
--- a/sesamespring/gateway/callers/request_checks.py
+++ b/sesamespring/gateway/callers/request_checks.py
@@ -4,6 +4,7 @@
 from returns.result import Failure, Success
 
 from sesamespring.gateway.callers.attempt_history import LocalResponse
+from sesamespring.gateway.callers.request_accounts import check_account
 from sesamespring.http.headers import header
 from sesamespring.platform.headers import read_request_id, read_timeout_s
 
@@ -20,10 +21,12 @@
     Attributes:
         route: The Route that it matches.
         timeout_s: How long the caller will wait, in seconds.
+        account: The RequestAccount.
     """
 
     route: object
     timeout_s: float
+    account: object
 
 
 def check_request(incoming, context):
@@ -44,12 +47,14 @@
     route = context.routes.select(host, incoming.target)
     if route is None:
         return Failure(LocalResponse(404, "no-route"))
+    checked = check_account(headers, route, context.cluster_state.account_keys)
+    if isinstance(checked, Failure):
+        return checked
     if read_request_id(headers) is None:
         return Failure(LocalResponse(400, "no request id"))
     length = header(headers, b"content-length", "0")
     if int(length) > configuration.limits.body_bytes_max:
         return Failure(LocalResponse(413, "body-too-large"))
     timeout_s = read_timeout_s(headers)
-    return Success(
-        RoutedRequest(route, route.timeout_s if timeout_s is None else timeout_s)
-    )
+    timeout_s = route.timeout_s if timeout_s is None else timeout_s
+    return Success(RoutedRequest(route, timeout_s, checked.unwrap()))
--- a/sesamespring/gateway/store/cluster_state.py
+++ b/sesamespring/gateway/store/cluster_state.py
@@ -8,6 +8,7 @@
 import attrs
 from returns.result import Failure, Success
 
+from sesamespring.gateway.store.configuration_loader import ConfigurationLoader
 from sesamespring.gateway.store.replica import TableReplica
 from sesamespring.platform.operator_table import (
     CONFIGURATION_KEY,
@@ -51,6 +52,10 @@
             TARGETS_TABLE, same_registration, is_earlier_registration
         )
         self._configuration = None
+        self._account_keys = None
+        # The newest version that takes effect, now or once it is loaded.
+        self._newest_version = -1
+        self._loader = ConfigurationLoader(self._put_in_force)
         self._closed = frozenset()
         # Dict of the end of its retention by data centre that is kept closed.
         self._kept_closed = {}
@@ -66,6 +71,11 @@
         """The Configuration in force, or None before the first one is received."""
         return self._configuration
 
+    @property
+    def account_keys(self):
+        """The AccountKeys in force, or None if requests need no key."""
+        return self._account_keys
+
     @property
     def closed_data_centres(self):
         """Names of the evacuated data centres, whose targets get no requests."""
@@ -233,17 +243,38 @@
             self._log.event("configuration-invalid", row=row.version, reason=reason)
             return
         configuration = decoded.unwrap()
-        current = self._configuration
         # Rows may arrive out of order; only a newer version takes effect.
-        if current is not None and configuration.version <= current.version:
+        if configuration.version <= self._newest_version:
             return
-        self._configuration = configuration
+        self._newest_version = configuration.version
+        self._loader.load(configuration, row.version)
+
+    def _put_in_force(self, loaded, later):
+        """Make a configuration and its keys take effect in one step.
+
+        Args:
+            loaded: The LoadedConfiguration.
+            later: Whether the change of its row has been reported before.
+        """
+        configuration = loaded.configuration
+        names = configuration.account_names
+        # The keys themselves are needed no more.
+        self._configuration = attrs.evolve(configuration, account_names={})
+        self._account_keys = loaded.account_keys
+        accounts = configuration.accounts
         self._log.event(
             "configuration-in-force",
             version=f"{configuration.version:08x}",
-            row=row.version,
+            row=loaded.row,
             routes=len(configuration.routes),
+            accounts=None if accounts is None else len(accounts),
+            keys=None if accounts is None else len(names),
+            ambiguous_keys=sum(not name for name in names.values()) or None,
         )
+        if later:
+            self._on_change()
+            if self.ready:
+                self._became_ready.set()
 
     def _apply_registrations(self, keys):
         for key in keys:
--- a/sesamespring/gateway/targets/attempt.py
+++ b/sesamespring/gateway/targets/attempt.py
@@ -228,11 +228,18 @@
         is_first = channel.exchange_count == 0
         outgoing = self._outgoing
         headers = target_request_headers(
-            outgoing.headers, self._entry.id, self._deadline_s - self._clock()
+            outgoing.headers,
+            self._entry.id,
+            self._deadline_s - self._clock(),
+            outgoing.account,
         )
         if self._relay is not None:
             headers = relay_request_headers(
-                headers, self._entry.key, outgoing.idempotent, outgoing.caller
+                headers,
+                self._entry.key,
+                outgoing.idempotent,
+                outgoing.caller,
+                outgoing.account,
             )
         sending = None
         if outgoing.body.is_streamed:
--- a/sesamespring/gateway/targets/attempt_data.py
+++ b/sesamespring/gateway/targets/attempt_data.py
@@ -29,16 +29,19 @@
         framing: The caller's headers that frame the body.
         idempotent: Whether it may run more than once.
         caller: Address of the caller, text.
+        account: Name of the caller's account, or an empty string.
     """
 
     method: str
     target: str
-    headers: list
+    # May have the caller's key.
+    headers: list = attrs.field(repr=False)
     request_id: bytes
     body: object
     framing: list
     idempotent: bool
     caller: str
+    account: str = ""
 
 
 @attrs.define
--- a/sesamespring/gateway/targets/relay_messages.py
+++ b/sesamespring/gateway/targets/relay_messages.py
@@ -26,7 +26,8 @@
 _IDEMPOTENT = b"relay-idempotent"
 _OUTCOME = b"relay-outcome"
 _CALLER = b"relay-caller"
-_RELAY_HEADERS = frozenset({_TARGET, _IDEMPOTENT, _OUTCOME, _CALLER})
+_ACCOUNT = b"relay-account"
+_RELAY_HEADERS = frozenset({_TARGET, _IDEMPOTENT, _OUTCOME, _CALLER, _ACCOUNT})
 # Outcomes of an attempt of which no byte was sent to the target. The second one says
 # that the VM reaches other targets of the service.
 NOT_SENT = b"not-sent"
@@ -50,15 +51,18 @@
         idempotent: Whether the request may run more than once.
         headers: The caller's headers, without those of this module.
         caller: Address of the caller, text; empty if the other VM does not state it.
+        account: Name of the caller's account; empty if it has none, or the other VM is
+            of a build that does not state it.
     """
 
     key: tuple
     idempotent: bool
-    headers: list
+    headers: list = attrs.field(repr=False)
     caller: str
+    account: str = ""
 
 
-def relay_request_headers(headers, key, idempotent, caller=""):
+def relay_request_headers(headers, key, idempotent, caller="", account=""):
     """Return the headers of an attempt that another VM is to make.
 
     Args:
@@ -66,6 +70,7 @@
         key: Key of the target.
         idempotent: Whether the request may run more than once.
         caller: Address of the caller, text.
+        account: Name of the caller's account, or an empty string.
 
     >>> headers = relay_request_headers([(b"a", b"b")], ("t1", 7), True, "10.0.0.9")
     >>> order = parse_relay_order(headers)
@@ -73,12 +78,15 @@
     (('t1', 7), True, [(b'a', b'b')], '10.0.0.9')
     """
     target_id, born_ms = key
-    return [
+    relayed = [
         *_without_relay_headers(headers),
         (_TARGET, b"%s %d" % (target_id.encode(), born_ms)),
         (_IDEMPOTENT, b"%d" % idempotent),
         (_CALLER, caller.encode()),
     ]
+    if account:
+        relayed.append((_ACCOUNT, account.encode()))
+    return relayed
 
 
 def parse_relay_order(headers):
@@ -88,7 +96,8 @@
         return None
     idempotent = header(headers, _IDEMPOTENT) == "1"
     caller = header(headers, _CALLER, "")
-    return RelayOrder(key, idempotent, _without_relay_headers(headers), caller)
+    others = _without_relay_headers(headers)
+    return RelayOrder(key, idempotent, others, caller, _account(headers))
 
 
 def relay_outcome_header(outcome):
@@ -126,6 +135,10 @@
     return _LINK_OF_STATUS.get(status)
 
 
+def _account(headers):
+    return header(headers, _ACCOUNT, "").encode("latin-1").decode("utf-8", "replace")
+
+
 def _parse_key(text, separator):
     target_id, _, digits = text.rpartition(separator)
     born_ms = parse_digits(digits)
--- a/sesamespring/gateway/targets/relay_server.py
+++ b/sesamespring/gateway/targets/relay_server.py
@@ -138,6 +138,7 @@
             framing=[pair for pair in incoming.headers if pair[0] in FRAMING_HEADERS],
             idempotent=order.idempotent,
             caller=order.caller,
+            account=order.account,
         )
         attempt = Attempt(
             _RelayDispatch(entry),
--- a/sesamespring/platform/headers.py
+++ b/sesamespring/platform/headers.py
@@ -15,6 +15,7 @@
     "ResponseMetadata",
     "local_response_headers",
     "parse_response_headers",
+    "read_account_key",
     "read_request_id",
     "read_timeout_s",
     "target_request_headers",
@@ -46,7 +47,20 @@
 _DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{0,20})?")
 # Of any length that a float holds, as a target may ask for any time.
 _SECONDS = re.compile(rb"[0-9]{1,40}(\.[0-9]{0,20})?")
-_REPLACED_HEADERS = frozenset({TIMEOUT_MS, EXPECTED_TARGET})
+# Key of the caller's account, which no target gets, and the account's name.
+ACCOUNT_KEY = b"sesamespring-credential"
+ACCOUNT_NAME = b"sesamespring-tenant"
+# Targets may take an underscore in a name for a dash.
+_REPLACED_HEADERS = frozenset(
+    {
+        TIMEOUT_MS,
+        EXPECTED_TARGET,
+        ACCOUNT_KEY,
+        ACCOUNT_KEY.replace(b"-", b"_"),
+        ACCOUNT_NAME,
+        ACCOUNT_NAME.replace(b"-", b"_"),
+    }
+)
 
 
 @attrs.frozen
@@ -105,6 +119,20 @@
     return next((value for name, value in headers if name == REQUEST_ID), None)
 
 
+def read_account_key(headers):
+    """Return the key of the caller's account in bytes, or None.
+
+    Two headers name no key, also if they are equal: another reader could take either.
+
+    >>> read_account_key([(b"sesamespring-credential", b"k")])
+    b'k'
+    >>> read_account_key([(b"sesamespring-credential", b"k")] * 2) is None
+    True
+    """
+    keys = [value for name, value in headers if name == ACCOUNT_KEY]
+    return keys[0] if len(keys) == 1 else None
+
+
 def read_timeout_s(headers):
     """Return how long the caller will wait, in seconds, or None if not stated.
 
@@ -138,18 +166,21 @@
     return headers
 
 
-def target_request_headers(headers, target_id, left_s):
+def target_request_headers(headers, target_id, left_s, account=""):
     """Return the headers of a request to a target.
 
     Args:
-        headers: The end-to-end headers of the caller's request. A deadline and an
-            expected target among them are replaced.
+        headers: The end-to-end headers of the caller's request. A deadline, an expected
+            target and an account among them are replaced; a key is left out.
         target_id: Identity of the only target that may run the request.
         left_s: Time left until the deadline, in seconds; at least 1 ms is sent.
+        account: Name of the client account, or an empty string.
     """
     forwarded = [pair for pair in headers if pair[0] not in _REPLACED_HEADERS]
     forwarded.append((TIMEOUT_MS, b"%d" % max(1, int(left_s * 1000))))
     forwarded.append((EXPECTED_TARGET, target_id.encode()))
+    if account:
+        forwarded.append((ACCOUNT_NAME, account.encode()))
     return forwarded
 
 
--- a/sesamespring/platform/operator_table.py
+++ b/sesamespring/platform/operator_table.py
@@ -1,10 +1,12 @@
 """Decode the operator's table: the configuration and evacuated data centres."""
 
+import functools
 import json
 
 from returns.result import Failure, Success
 
 from sesamespring.fields import MalformedField, integer, number, text, token
+from sesamespring.platform.account_decoding import decode_accounts
 from sesamespring.routing.records import (
     Configuration,
     Limits,
@@ -37,6 +39,8 @@
 BYTES_MAX = 2**40
 RATE_MAX = 1e9
 PATH_BYTES_MAX = 4096
+# Contents kept decoded: each is decoded once to be compared and once to take effect.
+DECODED_MAX = 4
 
 
 def evacuated_data_centre(key):
@@ -50,6 +54,7 @@
     return key.removeprefix(EVACUATION_PREFIX)
 
 
+@functools.lru_cache(maxsize=DECODED_MAX)
 def decode_configuration(content):
     """Decode the operator's configuration.
 
@@ -95,11 +100,16 @@
     routes = tuple(
         _decode_route(name, item, services) for name, item in body["routes"].items()
     )
+    accounts, account_names = None, {}
+    if "tenants" in body:
+        accounts, account_names = decode_accounts(body["tenants"])
     return Configuration(
         version=_decode_version(body["version"]),
         routes=routes,
         services=services,
         limits=_decode_limits(body["limits"]),
+        accounts=accounts,
+        account_names=account_names,
     )
 
 
@@ -144,9 +154,16 @@
         priority=integer(item["priority"], maximum=PRIORITY_MAX),
         attempts_max=max(1, integer(item["maxAttempts"], maximum=COUNT_MAX)),
         shares=shares,
+        public=_decode_flag(item.get("public", False)),
     )
 
 
+def _decode_flag(value):
+    if not isinstance(value, bool):
+        raise MalformedField(f"{value!r:.60} is neither true nor false")
+    return value
+
+
 def _decode_share(part):
     return Share(text(part["service"]), number(part["weight"], maximum=RATE_MAX))
 
--- a/sesamespring/platform/rows.py
+++ b/sesamespring/platform/rows.py
@@ -54,7 +54,8 @@
 
     key: str
     version: int
-    content: bytes | None
+    # May have callers' keys.
+    content: bytes | None = attrs.field(repr=False)
 
 
 @attrs.frozen
--- a/sesamespring/platform/store.py
+++ b/sesamespring/platform/store.py
@@ -191,7 +191,10 @@
                 return await self._exchange(method, target, body)
         except (OSError, TimeoutError, h11.ProtocolError, ValueError) as error:
             self.close()
-            detail = f"{method} {target.partition('?')[0]}: {error!r}"
+            # The text of a protocol error may have a part of the response.
+            is_foreign = isinstance(error, h11.ProtocolError)
+            cause = type(error).__name__ if is_foreign else repr(error)
+            detail = f"{method} {target.partition('?')[0]}: {cause}"
             raise ExternalError(ErrorKind.PLATFORM_AWAY, detail) from error
         except asyncio.CancelledError:
             self.close()
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -46,6 +46,7 @@
         target: Request target.
         body: Request body; empty until the target has read it.
         left_ms: Time to the deadline according to the sender, in ms.
+        fields: List of pairs of the headers that it got, names in lower case.
     """
 
     request_id: str
@@ -53,6 +54,7 @@
     target: str
     body: bytes
     left_ms: int
+    fields: list = attrs.field(factory=list)
 
 
 class PlatformTarget:
@@ -182,7 +184,8 @@
             await asyncio.sleep(SILENCE_S)
         lines = head.decode().split("\r\n")
         method, target, _ = lines[0].split(" ")
-        request_headers = dict(_parse_field(line) for line in lines[1:] if line)
+        fields = [_parse_field(line) for line in lines[1:] if line]
+        request_headers = dict(fields)
         if target == "/health":
             self.health_checks.append(time.monotonic())
             self.checked_by.append(_client_ip(writer))
@@ -222,12 +225,14 @@
                 headers["Retry-After"] = str(self.busy_s)
             return await self._send(writer, 503, b"", headers)
         return await self._run(
-            reader, writer, method, target, request_headers, request_id
+            reader, writer, method, target, fields, request_headers, request_id
         )
 
-    async def _run(self, reader, writer, method, target, request_headers, request_id):
+    async def _run(
+        self, reader, writer, method, target, fields, request_headers, request_id
+    ):
         left_ms = int(request_headers["sesamespring-deadline-ms"])
-        received = ReceivedRequest(request_id, method, target, b"", left_ms)
+        received = ReceivedRequest(request_id, method, target, b"", left_ms, fields)
         fault = self.choose_fault(received)
         self._running += 1
         try:
--- a/tests/gateway/cluster.py
+++ b/tests/gateway/cluster.py
@@ -50,10 +50,15 @@
     }
 
 
-def configuration(version=1, routes=None, services=(SERVICE,)):
-    """Return a configuration in the platform's JSON format."""
+def configuration(version=1, routes=None, services=(SERVICE,), tenants=None):
+    """Return a configuration in the platform's JSON format.
+
+    Without ``tenants``, a dict of accounts by name, requests need no key.
+    """
+    accounts = {} if tenants is None else {"tenants": tenants}
     default = {"read": route("read"), "write": route("write", "unsafe")}
     return {
+        **accounts,
         "version": f"{version:08x}",
         "routes": routes or default,
         "services": {
@@ -110,6 +115,7 @@
         self._stack = contextlib.AsyncExitStack()
         self._stops = {}
         self._tasks = {}
+        self._daemons = {}
         # Dict by IP address of the VMs that are cut off from targets: function without
         # arguments that is awaited in place of a new connection.
         self._cut_off = {}
@@ -191,6 +197,7 @@
         context = contextvars.copy_context()
         context.run(_vm_ip.set, ip)
         daemon = context.run(GatewayDaemon, self.settings(ip))
+        self._daemons[ip] = daemon
         self._tasks[ip] = asyncio.get_running_loop().create_task(
             daemon.run(stop), context=context
         )
@@ -282,6 +289,11 @@
         }
         return await self.request((ip, CALLERS_PORT), path, headers=headers, **options)
 
+    @property
+    def daemons(self):
+        """List of the GatewayDaemons of the VMs that run."""
+        return [self._daemons[ip] for ip in self._tasks]
+
     @property
     def runs(self):
         """Ids of the requests that targets began to run, one entry per run."""
