Let changes of the tables and news of VMs enter a data centre once

Cause: most bytes between data centres are the VMs' own. All VMs but two followed two readers, so each change of a table crossed to nearly every VM elsewhere, and news of a VM went to all others at once. Ruled out: a reader of the store in each data centre (calls to the store are billed too), changes in heartbeats (too large, no repair), fewer than six regular heartbeats an interval between two data centres (the end of 55 in 100 VMs was not known to all in time).

Change: in a data centre without a reader one large VM follows a reader, the others there follow it; table pages are compressed where the request asks for it; news go to two VMs of each other data centre, which pass them on. Older builds are served as before. Metrics of bytes to other VMs and of attempts, by place.

--- a/sesamespring/gateway/callers/request_report.py
+++ b/sesamespring/gateway/callers/request_report.py
@@ -56,6 +56,12 @@
             dispatch: The Dispatch that started it.
         """
         self.attempts += 1
+        is_local = dispatch.entry.data_centre == self._context.data_centre
+        self._context.counters.add(
+            "attempts_by_place",
+            service=self.service,
+            place="local" if is_local else "remote",
+        )
         self._context.log.routine(
             "attempt",
             request=self._request_id_text(),
--- a/sesamespring/gateway/counters.py
+++ b/sesamespring/gateway/counters.py
@@ -45,9 +45,9 @@
         self.latencies = collections.defaultdict(LatencyHistogram)
         self.gauges = {}
 
-    def add(self, name, **labels):
-        """Increment the counter ``name`` with the given labels."""
-        self.totals[name][tuple(labels.items())] += 1
+    def add(self, name, /, amount=1, **labels):
+        """Increase the counter ``name`` with the given labels by an amount."""
+        self.totals[name][tuple(labels.items())] += amount
 
     def observe(self, service, seconds):
         """Record the seconds that this VM took for a request to a service."""
--- a/sesamespring/gateway/daemon.py
+++ b/sesamespring/gateway/daemon.py
@@ -23,6 +23,7 @@
     ReadinessHandler,
 )
 from sesamespring.gateway.members.datagrams import open_datagrams
+from sesamespring.gateway.members.peer_traffic import PeerTraffic
 from sesamespring.gateway.members.peers import Peers
 from sesamespring.gateway.slots.services import Services
 from sesamespring.gateway.slots.slot_client import SlotClient
@@ -124,6 +125,9 @@
             self._log,
             self._handle_peers_changed,
         )
+        self._traffic = PeerTraffic(
+            self._counters, settings.data_centre, self._peers.data_centre_of
+        )
         self._address_rows = AddressRows(settings, self._store, self._log)
         self._table_sync = TableSync(
             settings,
@@ -247,7 +251,11 @@
         settings = self._settings
         internal_address = settings.internal_address
         datagrams = await open_datagrams(
-            internal_address, self._peers.handle_message, self._counters, self._log
+            internal_address,
+            self._peers.handle_message,
+            self._counters,
+            self._log,
+            self._traffic.record_datagram,
         )
         stack.callback(datagrams.close)
         self._peers.set_socket(datagrams)
@@ -259,7 +267,7 @@
         )
         ready = ReadinessHandler(lambda: self._ready)
         feed = FeedServer(self._cluster_state.replicas)
-        internal = InternalHandler(feed, self._relay, self._counters)
+        internal = InternalHandler(feed, self._relay, self._counters, self._traffic)
         listeners = [
             (directory.handle, settings.directory_address),
             (ready.handle, settings.ready_address),
--- a/sesamespring/gateway/datagrams.thrift
+++ b/sesamespring/gateway/datagrams.thrift
@@ -56,6 +56,12 @@
   19: optional binary counters
   /* Number of VMs whose addresses the VM knows. */
   20: optional i32 vms_known
+  /* Whether the VM passes heartbeats on, see fields 51 and 52. */
+  50: optional bool passes_on
+  /* Address of the VM that states this, where another VM has passed it on. */
+  51: optional string origin
+  /* Asks the receiver to pass it on to the VMs of its data centre. */
+  52: optional bool pass_on
 }
 
 /* Asks a VM for the states of others of which it has told counters. */
--- a/sesamespring/gateway/http_handlers.py
+++ b/sesamespring/gateway/http_handlers.py
@@ -2,6 +2,7 @@
 
 from sesamespring.gateway.metrics import CONTENT_TYPE, render
 from sesamespring.gateway.targets.relay_messages import parse_reachability_path
+from sesamespring.http.compression import compress_response
 from sesamespring.platform.directory import (
     encode_resolve_response,
     is_readiness_check,
@@ -84,12 +85,14 @@
         feed: The FeedServer.
         relay: The RelayServer.
         counters: The Counters.
+        traffic: The PeerTraffic.
     """
 
-    def __init__(self, feed, relay, counters):
+    def __init__(self, feed, relay, counters, traffic):
         self._feed = feed
         self._relay = relay
         self._counters = counters
+        self._traffic = traffic
 
     async def handle(self, incoming):
         """Respond to one IncomingRequest."""
@@ -108,4 +111,6 @@
             incoming.send_whole(404, [], b"")
             return
         status, body = await self._feed.respond(request)
-        incoming.send_whole(status, JSON_HEADERS, body)
+        headers, body = compress_response(incoming.headers, body)
+        self._traffic.record_page(incoming.caller_ip, len(body))
+        incoming.send_whole(status, [*JSON_HEADERS, *headers], body)
--- a/sesamespring/gateway/members/datagrams.py
+++ b/sesamespring/gateway/members/datagrams.py
@@ -23,12 +23,15 @@
             of IP and port.
         counters: The Counters.
         log: The EventLog.
+        on_sent: Function of the type of a message that was sent, its bytes and the
+            addresses.
     """
 
-    def __init__(self, on_message, counters, log):
+    def __init__(self, on_message, counters, log, on_sent=lambda *sent: None):
         self._on_message = on_message
         self._counters = counters
         self._log = log
+        self._on_sent = on_sent
         self._transport = None
 
     @property
@@ -76,13 +79,14 @@
             return
         for address in addresses:
             self._transport.sendto(data, address)
+        self._on_sent(type(message), len(data), addresses)
 
     def close(self):
         """Close the socket."""
         self._transport.close()
 
 
-async def open_datagrams(address, on_message, counters, log):
+async def open_datagrams(address, on_message, counters, log, on_sent):
     """Return a DatagramSocket bound to a local address.
 
     Args:
@@ -90,12 +94,14 @@
         on_message: See DatagramSocket.
         counters: The Counters.
         log: The EventLog.
+        on_sent: See DatagramSocket.
 
     Raises:
         OSError: The address cannot be bound.
     """
     loop = asyncio.get_running_loop()
     _, protocol = await loop.create_datagram_endpoint(
-        lambda: DatagramSocket(on_message, counters, log), local_addr=address
+        lambda: DatagramSocket(on_message, counters, log, on_sent),
+        local_addr=address,
     )
     return protocol
--- a/sesamespring/gateway/members/member_messages.py
+++ b/sesamespring/gateway/members/member_messages.py
@@ -29,6 +29,7 @@
         unreachable_services=list(member.unreachable_services),
         reaches_no_target=member.reaches_no_target,
         vms_known=0 if member.gossips else None,
+        passes_on=member.passes_on or None,
     )
 
 
@@ -57,6 +58,7 @@
         reaches_no_target=bool(heartbeat.reaches_no_target),
         # Builds without gossip do not state the field.
         gossips=heartbeat.vms_known is not None,
+        passes_on=bool(heartbeat.passes_on),
     )
 
 
--- a/sesamespring/gateway/members/peers.py
+++ b/sesamespring/gateway/members/peers.py
@@ -1,6 +1,7 @@
 """Exchange heartbeats and slot messages with other VMs, and track which are alive."""
 
 import asyncio
+import copy
 import operator
 import random
 import time
@@ -26,6 +27,7 @@
     GOSSIP_INTERVAL_S,
     VMS_ALL_TO_ALL_MAX,
     all_to_all_interval_factor,
+    broadcast_recipients,
     decode_counters,
     encode_counters,
     gossip_recipients,
@@ -100,6 +102,7 @@
         self._rng = random.Random()
         self._round = 0
         self._alive = {}
+        self._data_centres = {}
         self._socket = None
         self._handlers = {
             Heartbeat: self._handle_heartbeat,
@@ -119,6 +122,7 @@
             incarnation=self._incarnation,
             sequence=self._sequence,
             cores=self._usable_cores(),
+            passes_on=True,
             **self._local_state(),
         )
 
@@ -142,6 +146,10 @@
         """Start time of this process in milliseconds of Unix time."""
         return self._incarnation
 
+    def data_centre_of(self, ip):
+        """Return the data centre of the VM with an IP address, or None if unknown."""
+        return self._data_centres.get(ip)
+
     def is_alive(self, name):
         """Whether heartbeats of the VM ``name`` arrive."""
         return self._membership.is_alive(name, self._loop.time())
@@ -172,9 +180,18 @@
         """Send a heartbeat to all VMs, to silent ones only at their longer interval."""
         self._sequence += 1
         now_s = self._loop.time()
-        alive = {member.address for member in self._alive.values()}
+        members = self._alive.values()
+        alive = {member.address for member in members}
         due = self._addresses.due(alive, now_s)
-        self._socket.send(self._heartbeat(), *alive, *due)
+        heartbeat = self._heartbeat()
+        if self._membership.is_large:
+            own_data_centre = self._settings.data_centre
+            direct, passing = broadcast_recipients(own_data_centre, members, self._rng)
+            alive = [member.address for member in direct]
+            heartbeat.pass_on = True
+            self._socket.send(heartbeat, *(member.address for member in passing))
+            heartbeat.pass_on = None
+        self._socket.send(heartbeat, *alive, *due)
 
     async def run(self):
         """Send heartbeats and detect silent VMs until cancelled."""
@@ -244,7 +261,11 @@
 
     def _handle_heartbeat(self, message, address):
         now_s = self._loop.time()
+        if message.origin is not None:
+            address = check_address(message.origin)
         member = decode_member(message, address)
+        if message.pass_on:
+            self._pass_on(message, address)
         self._limits.record_heartbeat(message.limits or [], member.name)
         self._availability.record_heartbeat(message.leaving_targets or [], member.name)
         self._quarantine.record_heartbeat(message.crash_records or [], member.name)
@@ -257,6 +278,22 @@
         if is_new and address != self._settings.internal_address:
             self._introduce(address, message.vms_known or 0, now_s)
 
+    def _pass_on(self, heartbeat, address):
+        """Send another VM's heartbeat on to the VMs of this VM's data centre.
+
+        Those whose build would take it for this VM's own get it from the other VM.
+        """
+        own_data_centre = self._settings.data_centre
+        passed = copy.copy(heartbeat)
+        passed.origin = join_address(address)
+        passed.pass_on = None
+        near = (
+            member.address
+            for member in self._alive.values()
+            if member.data_centre == own_data_centre and member.passes_on
+        )
+        self._socket.send(passed, *near)
+
     def _record_member(self, member, now_s):
         if member.address == self._settings.internal_address:
             return
@@ -341,6 +378,8 @@
         """Update the Members that are alive, log the changes and report them."""
         alive = {m.name: m for m in self._membership.alive(self._loop.time())}
         before, self._alive = self._alive, alive
+        known = self._membership.known()
+        self._data_centres = {m.address[0]: m.data_centre for m in known}
         for name in before.keys() - alive.keys():
             self._log.event("vm-silent", peer=name)
         for name in alive.keys() - before.keys():
--- a/sesamespring/gateway/store/table_sync.py
+++ b/sesamespring/gateway/store/table_sync.py
@@ -1,8 +1,8 @@
 """Keep this VM's copies of the store's tables up to date.
 
 Two VMs, the readers, poll the store; they are in different data centres if possible.
-All other VMs poll a reader for changes, over the same protocol as the store's, and poll
-the store themselves only if the readers do not respond.
+All other VMs poll another VM for changes, over the same protocol as the store's (see
+``routing.table_sources``), and poll the store themselves only if those do not respond.
 """
 
 import asyncio
@@ -16,8 +16,7 @@
 from sesamespring.platform.registrations import TARGETS_TABLE
 from sesamespring.platform.rows import UNKNOWN_ERA, encode_page, encode_rows
 from sesamespring.platform.store import StoreClient
-from sesamespring.routing.rendezvous import rank
-from sesamespring.routing.vm_selection import reader_names
+from sesamespring.routing.table_sources import vms_to_follow
 
 __all__ = ["TableSync", "FeedServer"]
 
@@ -148,21 +147,17 @@
             client.close()
 
     def _choose_source(self, replica):
-        readers = reader_names([*self._peers.alive.values(), self._peers.own])
-        own = self._settings.process_name
-        peers_failed = self._failures.get(replica.name, 0) >= PEER_FAILURES_MAX
+        sources = vms_to_follow(self._peers.own, self._peers.alive.values())
+        failures = self._failures.get(replica.name, 0)
         now_s = time.monotonic()
         probe_store = (
             not self._store_reached
             and now_s - self._store_tried_s > STORE_PROBE_INTERVAL_S
         )
-        others = [name for name in readers if name != own]
-        if own in readers or peers_failed or probe_store or not others:
+        if failures >= PEER_FAILURES_MAX or probe_store or not sources:
             self._store_tried_s = now_s
             return self._store_source(replica)
-        failures = self._failures.get(replica.name, 0)
-        preferred = rank(own, dict.fromkeys(others, 1.0))
-        name = preferred[failures % len(preferred)]
+        name = sources[failures % len(sources)]
         return self._peer_source(replica, self._peers.alive[name])
 
     def _store_source(self, replica):
@@ -181,6 +176,7 @@
                 client = StoreClient(address, STORE_TIMEOUT_S, self._count_store_call)
             else:
                 client = StoreClient(address, PEER_TIMEOUT_S)
+                client.accepts_compressed = True
             self._clients[name, replica.name] = client
         return client
 
--- a/sesamespring/platform/store.py
+++ b/sesamespring/platform/store.py
@@ -11,6 +11,7 @@
 from sesamespring.errors import ErrorKind, ExternalError
 from sesamespring.fields import integer, parse_digits
 from sesamespring.http.channel import open_channel
+from sesamespring.http.compression import ACCEPT_DEFLATE, decompress_body
 from sesamespring.http.headers import header, json_body
 from sesamespring.platform.rows import (
     FEED_PATH,
@@ -69,9 +70,14 @@
         timeout_s: Maximum time for a response, in seconds.
         on_call: Function called with the kind of each call, or None. Kinds are "read",
             "feed" and "write".
+
+    Attributes:
+        accepts_compressed: Whether the other side is a VM, which may compress its
+            responses.
     """
 
     def __init__(self, address, timeout_s, on_call=None):
+        self.accepts_compressed = False
         self._address = address
         self._timeout_s = timeout_s
         self._on_call = on_call or (lambda kind: None)
@@ -204,6 +210,8 @@
             ("Content-Type", "application/json"),
             ("Content-Length", str(len(body))),
         ]
+        if self.accepts_compressed:
+            headers.append(ACCEPT_DEFLATE)
         channel.send_head(method, target, headers)
         if body:
             channel.send_data(body)
@@ -216,6 +224,7 @@
             channel.finish(0.0)
         else:
             self.close()
+        content = decompress_body(head.headers, content, RESPONSE_BYTES_MAX)
         return _Reply(head.status_code, content, _stated_era(head.headers))
 
     async def _get_channel(self):
--- a/sesamespring/routing/gossip.py
+++ b/sesamespring/routing/gossip.py
@@ -4,7 +4,9 @@
 other one cost every VM more than the requests of its callers. A small fleet exchanges
 heartbeats all to all. In a larger one each VM sends its heartbeat to a few others, with
 a counter of the heartbeats of each VM that it has heard of, directly or not, so what a
-VM sends and receives does not grow with the number of VMs.
+VM sends and receives does not grow with the number of VMs. News of a VM goes to all at
+once; other data centres pass it on among their own VMs, as bytes between them are
+billed.
 
 Two data centres tell each other of their own VMs only: a VM counts as alive where it
 can be reached, not where a third data centre reaches it.
@@ -20,6 +22,7 @@
     "VMS_ALL_TO_ALL_MAX",
     "HeartbeatCounters",
     "all_to_all_interval_factor",
+    "broadcast_recipients",
     "decode_counters",
     "encode_counters",
     "gossip_recipients",
@@ -31,11 +34,17 @@
 # Time between the heartbeats of a VM of a larger fleet.
 GOSSIP_INTERVAL_S = 0.25
 LOCAL_RECIPIENTS = 5
-# Mean number of VMs of other data centres to which a heartbeat goes as well.
-REMOTE_RECIPIENTS_MIN = 0.5
-# All VMs of a data centre together send so many heartbeats to each other data centre,
-# on average, so that many small data centres hear of each other often enough.
-REMOTE_HEARTBEATS_PER_INTERVAL = 3.0
+# Mean number of VMs of other data centres to which a heartbeat goes as well, within the
+# bounds below.
+REMOTE_RECIPIENTS = 0.5
+# All VMs of a data centre together send at least and at most so many heartbeats to each
+# other data centre, on average: many small data centres hear of each other often
+# enough, and large ones no more often than the loss of half of their VMs calls for.
+REMOTE_PER_INTERVAL_MIN = 3.0
+REMOTE_PER_INTERVAL_MAX = 6.0
+# VMs of another data centre that pass news on there, so that the loss of one of them
+# costs nothing.
+PASSING_VMS = 2
 # Keeps a heartbeat below the largest datagram; of more VMs, a random choice is told.
 COUNTERS_PER_HEARTBEAT_MAX = 512
 _KEY_BYTES = 8
@@ -102,6 +111,35 @@
     return chosen
 
 
+def broadcast_recipients(own_data_centre, members, rng):
+    """Return to whom a VM of a large fleet sends a heartbeat that tells of news.
+
+    Each other data centre gets the news from a few of its own VMs, so that it crosses
+    the link between the two only a few times.
+
+    Args:
+        own_data_centre: Data centre of the VM.
+        members: The other Members that are alive.
+        rng: A random.Random.
+
+    Returns:
+        Pair of the lists of the Members that get it, and of those that pass it on too.
+    """
+    direct, by_data_centre = [], {}
+    for member in members:
+        if member.data_centre == own_data_centre or not member.passes_on:
+            direct.append(member)
+        else:
+            by_data_centre.setdefault(member.data_centre, []).append(member)
+    passing = []
+    for members_there in by_data_centre.values():
+        if len(members_there) <= PASSING_VMS:
+            direct += members_there
+        else:
+            passing += rng.sample(members_there, PASSING_VMS)
+    return direct, passing
+
+
 def _remote_recipients(local, others, rng):
     """Return to how many other data centres a VM sends its next heartbeat.
 
@@ -110,8 +148,9 @@
         others: Number of other data centres.
         rng: A random.Random.
     """
-    mean = max(REMOTE_RECIPIENTS_MIN, REMOTE_HEARTBEATS_PER_INTERVAL * others / local)
-    whole, rest = divmod(mean, 1)
+    each = others / local
+    mean = min(REMOTE_RECIPIENTS, REMOTE_PER_INTERVAL_MAX * each)
+    whole, rest = divmod(max(mean, REMOTE_PER_INTERVAL_MIN * each), 1)
     return min(others, int(whole) + (rng.random() < rest))
 
 
--- a/sesamespring/routing/membership.py
+++ b/sesamespring/routing/membership.py
@@ -47,6 +47,7 @@
         unreachable_services: Tuple of the services whose targets it does not reach.
         reaches_no_target: Whether it does not reach the targets of any service.
         gossips: Whether its build passes on the heartbeats of others in large fleets.
+        passes_on: Whether its build passes news on to the VMs of its data centre.
     """
 
     name: str
@@ -66,6 +67,7 @@
     unreachable_services: tuple = ()
     reaches_no_target: bool = False
     gossips: bool = True
+    passes_on: bool = False
 
     def reaches(self, service):
         """Return whether it can send requests to a service's targets itself."""
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -19,6 +19,7 @@
 from sesamespring.gateway.targets.target_limits import TargetLimits
 
 VMS = 60
+FAR_VMS = 30
 OWN_STATE = {
     "ready": True,
     "leaving": False,
@@ -208,3 +209,44 @@
         assert len(sent) >= 4
 
     run(scenario)
+
+
+def test_news_cross_to_another_data_centre_a_few_times():
+    def scenario(peers, sockets):
+        for number in range(1, VMS):
+            place = "far" if number <= FAR_VMS else "dc"
+            name = f"vm-{number}"
+            heartbeat = heartbeat_of(name, data_centre=place, passes_on=True)
+            peers["vm-0"].handle_message(heartbeat, address_of(name))
+        sockets["vm-0"].sent.clear()
+        peers["vm-0"].broadcast_heartbeat()
+        sent = sockets["vm-0"].sent
+        passing = [address for message, address in sent if message.pass_on]
+        assert len(passing) == 2
+        assert set(passing) <= {address_of(f"vm-{n}") for n in range(1, FAR_VMS + 1)}
+        assert len(sent) == len(passing) + VMS - 1 - FAR_VMS
+
+    run(scenario)
+
+
+def test_news_are_passed_on_to_all_builds_of_the_data_centre_that_know_them_for_such():
+    def scenario(peers, sockets):
+        for number in range(2, VMS):
+            name = f"vm-{number}"
+            heartbeat = heartbeat_of(name, passes_on=number % 2 == 0)
+            peers["vm-1"].handle_message(heartbeat, address_of(name))
+        sockets["vm-1"].sent.clear()
+        news = heartbeat_of("vm-0", 5, leaving=True, data_centre="far", pass_on=True)
+        peers["vm-1"].handle_message(news, address_of("vm-0"))
+        passed = [pair for pair in sockets["vm-1"].sent if pair[0].origin is not None]
+        assert {address for _, address in passed} == {
+            address_of(f"vm-{number}") for number in range(2, VMS, 2)
+        }
+        receiver, socket = make_peers("vm-2")
+        message = passed[0][0]
+        receiver.handle_message(message, address_of("vm-1"))
+        assert receiver.alive["vm-0"].leaving
+        assert receiver.alive["vm-0"].address == address_of("vm-0")
+        assert not [m for m, _ in socket.sent if getattr(m, "origin", None)]
+
+    run(scenario)
--- a/tests/gateway/test_replica.py
+++ b/tests/gateway/test_replica.py
@@ -125,3 +125,28 @@
             newest[key] = (version, content)
     expected = {key: row[1] for key, row in newest.items() if row[1] is not None}
     assert {key: row.content for key, row in replica.rows.items()} == expected
+
+
+def test_end_of_an_outage_is_known_two_steps_from_the_store(monkeypatch):
+    clock = [0.0]
+    monkeypatch.setattr(
+        "sesamespring.gateway.store.replica.time.monotonic", lambda: clock[0]
+    )
+    reader, distributor, follower = (TableReplica("t") for _ in range(3))
+    reader.replace(changes(1, ("a", 1, b"1")))
+    distributor.replace(reader.changes_after(None))
+    follower.replace(distributor.changes_after(None))
+    # A calm time without news, after which two long polls confirm the copies.
+    clock[0] = 2.0
+    reader.apply(changes(1))
+    clock[0] = 4.0
+    distributor.apply(reader.changes_after(1))
+    follower.apply(distributor.changes_after(1))
+    assert follower.gap_ended_s is None
+    clock[0] = 9.0
+    reader.record_store_failure()
+    reader.apply(changes(2, ("a", 2, None)))
+    distributor.apply(reader.changes_after(1))
+    follower.apply(distributor.changes_after(1))
+    assert follower.gap_ended_s == reader.gap_ended_s == 9.0
+    assert follower.rows == {}
