Decide on accounts' quotas without I/O, with one lender for each account

An account's quota holds over all VMs, but nothing counted its requests. One lender keeps the token bucket of an account; deciders hold a few tokens in reserve and ask for more when they run short.

--- a/sesamespring/gateway/datagrams.thrift
+++ b/sesamespring/gateway/datagrams.thrift
@@ -121,6 +121,8 @@
   4: required double retry_after_s
   5: required i32 waiting
   6: required double needed_s
+  /* Reason that builds before the quotas do not know; it goes before field 3. */
+  20: optional string newer_reason
 }
 
 /* Says how an attempt under a granted slot ended. */
@@ -146,6 +148,38 @@
   1: required i64 request
 }
 
+/* What a VM asks for one account. */
+struct TokenAsk {
+  1: required string account
+  /* Requests that wait for a token. */
+  2: required i32 needed
+  3: required i32 reserve
+  /* Tokens given back. */
+  4: required i32 returned
+}
+
+/* Asks the lender of accounts for tokens of their quotas. */
+struct TokensWanted {
+  1: required i64 epoch
+  2: required i64 number
+  /* Number of the latest ask whose answer was taken. */
+  3: required i64 answered
+  4: required list<TokenAsk> asks
+}
+
+struct TokenGift {
+  1: required string account
+  2: required i32 tokens
+  3: required double due_in_s
+}
+
+/* Answers TokensWanted; accounts that the VM does not lend to are left out. */
+struct TokensGiven {
+  1: required i64 epoch
+  2: required i64 number
+  3: required list<TokenGift> gifts
+}
+
 union Datagram {
   1: Heartbeat heartbeat
   2: KnownVms known_vms
@@ -158,4 +192,6 @@
   9: CrashRecords crash_records
   10: StatesWanted states_wanted
   11: MemberStates member_states
+  30: TokensWanted tokens_wanted
+  31: TokensGiven tokens_given
 }
