Give each request of an account with a quota a token before it queues

Wires the decisions on quotas into the runners: a request without a token is answered 429, or parked for one ask of the lender; hedges pay for themselves.

--- a/sesamespring/gateway/callers/attempt_history.py
+++ b/sesamespring/gateway/callers/attempt_history.py
@@ -53,13 +53,14 @@
         if outcome is Outcome.FAILED:
             self._failed_response = result.response
 
-    def final_response(self, reason, retry_after_s):
+    def final_response(self, reason, retry_after_s, status=503):
         """Return the response to a request that is not sent to a target again.
 
         Args:
             reason: Why not, for the log.
             retry_after_s: Seconds after which the caller may try again, told only if
                 the request has not run.
+            status: Status that says so, if it has not run.
 
         Returns:
             A target's TargetResponse, or a LocalResponse.
@@ -71,4 +72,4 @@
             return failed
         if self._may_have_run:
             return LocalResponse(502, self._last_reason)
-        return LocalResponse(503, reason, retry_after_s)
+        return LocalResponse(status, reason, retry_after_s)
--- a/sesamespring/gateway/callers/forwarding.py
+++ b/sesamespring/gateway/callers/forwarding.py
@@ -35,6 +35,7 @@
     Dispatch,
     Outcome,
     Refusal,
+    RefusalReason,
     ScheduledRequest,
 )
 
@@ -287,8 +288,11 @@
         if self._tasks:
             return False
         self._report.decider = self._decider
-        self._report.slot_refused(refusal)
-        self._respond_finally(refusal.reason.value, refusal.retry_after_s)
+        over_quota = refusal.reason is RefusalReason.OVER_QUOTA
+        if not over_quota:
+            self._report.slot_refused(refusal)
+        status = 429 if over_quota else 503
+        self._respond_finally(refusal.reason.value, refusal.retry_after_s, status)
         return True
 
     async def _handle_result(self, result):
@@ -337,9 +341,9 @@
         self._respond_finally(self._history.last_reason, RETRY_AFTER_NO_ATTEMPT_S)
         return True
 
-    def _respond_finally(self, reason, retry_after_s):
+    def _respond_finally(self, reason, retry_after_s, status=503):
         """Send the final response; see ``AttemptHistory.final_response``."""
-        response = self._history.final_response(reason, retry_after_s)
+        response = self._history.final_response(reason, retry_after_s, status)
         if isinstance(response, LocalResponse):
             self._respond_locally(response)
             return
--- a/sesamespring/gateway/callers/request_report.py
+++ b/sesamespring/gateway/callers/request_report.py
@@ -126,7 +126,9 @@
         taken_s = self._loop.time() - self._incoming.arrived_s
         context.counters.add("requests", service=self.service, status=str(status))
         context.counters.observe(self.service, taken_s)
-        write = context.log.routine if 200 <= status < 300 else context.log.event
+        # Refusals beyond a quota come in floods, and their first ones have own lines.
+        is_routine = 200 <= status < 300 or status == 429
+        write = context.log.routine if is_routine else context.log.event
         configuration = context.cluster_state.configuration
         write(
             "request",
--- a/sesamespring/gateway/daemon.py
+++ b/sesamespring/gateway/daemon.py
@@ -24,6 +24,7 @@
 )
 from sesamespring.gateway.members.datagrams import open_datagrams
 from sesamespring.gateway.members.peers import Peers
+from sesamespring.gateway.slots.quota_gate import make_quota_gate
 from sesamespring.gateway.slots.services import Services
 from sesamespring.gateway.slots.slot_client import SlotClient
 from sesamespring.gateway.slots.slot_server import SlotServer
@@ -144,12 +145,16 @@
             self._peers, self._target_connections, self._relay_connections, self._log
         )
         self._paths.on_change = self._paths_changed
+        self._quotas = make_quota_gate(
+            settings, self._cluster_state, self._peers, self._counters, self._log
+        )
         self._services = Services(
             settings,
             self._cluster_state,
             self._peers,
             self._target_connections,
             self._limits,
+            self._quotas,
         )
         self._limits.on_change = self._services.apply_limits
         self._limits.on_news = self._peers.broadcast_heartbeat
@@ -208,6 +213,8 @@
             stack.callback(self._store.close)
             stack.callback(self._table_sync.close)
             stack.callback(self._services.close)
+            if self._quotas is not None:
+                stack.callback(self._quotas.close)
             stack.callback(self._peers_changed.close)
             await self._listen(stack)
             tasks = await stack.enter_async_context(_cancelled_at_exit())
@@ -361,6 +368,8 @@
             self._limits.drop_outdated(self._cluster_state.target_keys)
             self._availability.drop_outdated()
             self._quarantine.drop_expired()
+            if self._quotas is not None:
+                self._quotas.tick()
             self._counters.set("vms_heard", len(self._peers.alive))
             self._counters.set("requests_in_progress", self._callers.in_progress)
 
--- a/sesamespring/gateway/slots/runner.py
+++ b/sesamespring/gateway/slots/runner.py
@@ -16,10 +16,14 @@
 
     Args:
         scheduler: The ServiceScheduler.
+        quotas: The QuotaGate, or None without quotas.
     """
 
-    def __init__(self, scheduler):
+    def __init__(self, scheduler, quotas=None):
         self._scheduler = scheduler
+        self._quotas = quotas
+        # By number of an attempt that a token was spent on: its account.
+        self._paid_attempts = {}
         self._loop = asyncio.get_running_loop()
         self._command_handlers = {}
         self._numbers = itertools.count(1)
@@ -50,15 +54,23 @@
         """
         self._used_s = self._loop.time()
         self._command_handlers[request.number] = on_command
-        self._deliver(self._scheduler.submit(request, self._used_s))
+        if self._quotas is None or not request.account:
+            self._enter(request)
+        else:
+            self._quotas.submit(request, self._enter, self._refuse)
 
     def withdraw(self, request):
         """Remove a request that needs no further slot."""
         self._command_handlers.pop(request.number, None)
         self._scheduler.withdraw(request)
+        if request.account and self._quotas is not None:
+            self._quotas.withdraw(request)
 
     def finish_attempt(self, end):
         """Report an AttemptEnded to the scheduler, which may free a slot."""
+        account = self._paid_attempts.pop(end.attempt, None)
+        if account is not None and end.outcome.not_run:
+            self._quotas.not_run(account)
         self._deliver(self._scheduler.finish_attempt(end, self._loop.time()))
 
     def advance(self):
@@ -70,8 +82,16 @@
         if self._timer is not None:
             self._timer.cancel()
 
+    def _enter(self, request):
+        self._deliver(self._scheduler.submit(request, self._loop.time()))
+
+    def _refuse(self, refusal):
+        self._deliver([refusal])
+
     def _deliver(self, commands):
         for command in commands:
+            if command.request.account and self._quotas is not None:
+                self._record_tokens(command)
             on_command = self._command_handlers.get(command.request.number)
             if on_command is not None:
                 on_command(command)
@@ -81,6 +101,11 @@
         if self._timer is None and self._scheduler.needs_replanning:
             self._timer = self._loop.call_later(REPLAN_INTERVAL_S, self._replan)
 
+    def _record_tokens(self, command):
+        if isinstance(command, Dispatch) and (command.request.tokens or command.hedge):
+            self._paid_attempts[command.attempt] = command.request.account
+        self._quotas.record_command(command)
+
     def _replan(self):
         self._timer = None
         self.advance()
--- a/sesamespring/gateway/slots/services.py
+++ b/sesamespring/gateway/slots/services.py
@@ -21,14 +21,18 @@
         peers: The Peers.
         target_connections: The TargetConnectionPool.
         limits: The TargetLimits.
+        quotas: The QuotaGate, or None without quotas.
     """
 
-    def __init__(self, settings, cluster_state, peers, target_connections, limits):
+    def __init__(
+        self, settings, cluster_state, peers, target_connections, limits, quotas=None
+    ):
         self._settings = settings
         self._cluster_state = cluster_state
         self._peers = peers
         self._target_connections = target_connections
         self._limits = limits
+        self._quotas = quotas
         self._runners = {}
         self._deciders = {}
         self._vms_for_callers = {}
@@ -40,11 +44,14 @@
 
     def decider(self, service):
         """Return the name of a service's decider, or an empty string without VMs."""
-        decider = self._deciders.get(service)
-        if decider is None:
-            order = decider_order(service, self._members_reaching(service))
-            decider = self._deciders[service] = order[0] if order else ""
-        return decider
+        first = self._first_deciders(service)
+        return first[0] if first else ""
+
+    def lenders(self, service):
+        """Return the addresses of a service's decider and of the next one, a tuple."""
+        members = {**self._peers.alive, self._settings.process_name: self._peers.own}
+        names = self._first_deciders(service)
+        return tuple([members[name].address for name in names if name in members])
 
     def vms_for_callers(self, service, data_centre):
         """Return the Members that the directory names to callers in a data centre."""
@@ -103,6 +110,8 @@
             return
         for name, declaration in configuration.services.items():
             self._update_service(name, declaration)
+        if self._quotas is not None:
+            self._quotas.update(self.lenders)
         keys = set()
         for runner in self._runners.values():
             keys.update(runner.scheduler.targets.states)
@@ -124,7 +133,7 @@
     def _update_service(self, name, declaration):
         runner = self._runners.get(name)
         if runner is None:
-            runner = ServiceRunner(self._make_scheduler(declaration))
+            runner = ServiceRunner(self._make_scheduler(declaration), self._quotas)
             self._runners[name] = runner
         targets = runner.scheduler.targets
         targets.set_declaration(declaration)
@@ -143,7 +152,18 @@
         budget = RetryBudget(
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s
         )
-        return ServiceScheduler(declaration, bounds, budget, self._limits.stated)
+        take_token = self._quotas.take_extra if self._quotas is not None else None
+        return ServiceScheduler(
+            declaration, bounds, budget, self._limits.stated, take_token
+        )
+
+    def _first_deciders(self, service):
+        """Return the names of a service's decider and of the next one, if any."""
+        first = self._deciders.get(service)
+        if first is None:
+            order = decider_order(service, self._members_reaching(service))
+            first = self._deciders[service] = order[:2]
+        return first
 
     def _members_reaching(self, service):
         """Return the serving Members that reach a service's targets, or all if none."""
--- a/sesamespring/gateway/slots/slot_messages.py
+++ b/sesamespring/gateway/slots/slot_messages.py
@@ -24,6 +24,10 @@
     "encode_wanted",
 ]
 
+# Reasons that builds before the quotas do not know.
+_NEWER_REASONS = frozenset({RefusalReason.OVER_QUOTA, RefusalReason.QUOTA_UNKNOWN})
+_REASONS = frozenset(reason.value for reason in RefusalReason)
+
 
 def encode_wanted(slot_request, now_s):
     """Return the SlotWanted of a SlotRequest."""
@@ -77,10 +81,13 @@
         command: The Refusal or Dispatch.
     """
     if isinstance(command, Refusal):
+        reason = command.reason.value
+        is_newer = command.reason in _NEWER_REASONS
         return SlotRefused(
             request=number,
             round=round_number,
-            reason=command.reason.value,
+            reason=RefusalReason.TOO_LATE.value if is_newer else reason,
+            newer_reason=reason if is_newer else None,
             retry_after_s=command.retry_after_s,
             waiting=command.waiting,
             needed_s=command.needed_s,
@@ -97,10 +104,16 @@
 
 
 def decode_refused(message, request):
-    """Return the Refusal of a ScheduledRequest that a SlotRefused states."""
+    """Return the Refusal of a ScheduledRequest that a SlotRefused states.
+
+    A reason that only newer builds know counts as the one that they add for this build.
+    """
+    reason = RefusalReason(message.reason)
+    if message.newer_reason in _REASONS:
+        reason = RefusalReason(message.newer_reason)
     return Refusal(
         request,
-        RefusalReason(message.reason),
+        reason,
         message.retry_after_s,
         message.waiting,
         message.needed_s,
--- a/sesamespring/routing/account_admission.py
+++ b/sesamespring/routing/account_admission.py
@@ -91,7 +91,8 @@
     Attributes:
         series: The AskSeries.
         asked_s: Time of the latest ask.
-        needed: Dict by account of the number of requests that it was for.
+        needed: Dict by account of the number of requests that it was for, and of the
+            tokens asked for in reserve.
         unanswered: Number of asks since the last answer.
         silent_until_s: Until when it is left out.
         unknown_until_s: Dict by account that it has no limit of, until when it is left
@@ -248,9 +249,9 @@
         needed, lender.needed = lender.needed, {}
         outputs = []
         for gift in gifts:
-            count = needed.pop(gift.account, None)
-            if count is not None and gift.tokens >= 0:
-                self._take_gift(gift, count, outputs, now_s)
+            counts = needed.pop(gift.account, None)
+            if counts is not None:
+                self._take_gift(gift, *counts, outputs, now_s)
         for account in needed:
             lender.unknown_until_s[account] = now_s + SILENCE_S
         return outputs
@@ -318,7 +319,7 @@
         lender.series.begin(now_s)
         lender.asked_s = now_s
         lender.unanswered += 1
-        lender.needed = {ask.account: ask.needed for ask in asks}
+        lender.needed = {ask.account: (ask.needed, ask.reserve) for ask in asks}
         series = lender.series
         number, answered = series.number, series.answered
         outputs.append(SendAsk(address, series.epoch, number, answered, tuple(asks)))
@@ -331,25 +332,27 @@
         reserve = max(0, goal - self._reserve.tokens(account))
         return Ask(account, needed, reserve, returned)
 
-    def _take_gift(self, gift, count, outputs, now_s):
+    def _take_gift(self, gift, count, reserve, outputs, now_s):
         """Serve the first ``count`` parked requests with a Gift."""
         account = gift.account
+        tokens = min(max(0, gift.tokens), count + reserve)
+        due_in_s = min(max(0.0, gift.due_in_s), self._terms.window_s)
         tickets = self._parked.get(account, {})
         asked_for = list(tickets)[:count]
-        admitted = asked_for[: gift.tokens]
-        refused = asked_for[gift.tokens :]
+        admitted = asked_for[:tokens]
+        refused = asked_for[tokens:]
         for ticket in asked_for:
             del tickets[ticket]
         self._drop_empty(account)
         for ticket in admitted:
             outputs.append(Decision(ticket, account, Verdict.ADMITTED))
-        self._reserve.add(account, gift.tokens - len(admitted))
+        self._reserve.add(account, tokens - len(admitted))
         self._return_surplus(account, now_s)
-        if refused or gift.due_in_s > 0:
-            wait_s = min(gift.due_in_s, REFUSE_S)
+        if due_in_s > 0:
+            wait_s = min(due_in_s, REFUSE_S)
             self._refuse_until_s[account] = now_s + wait_s
         for ticket in refused:
-            outputs.append(self._refusal(ticket, account, gift.due_in_s, now_s))
+            outputs.append(self._refusal(ticket, account, due_in_s, now_s))
 
     def _refusal(self, ticket, account, due_in_s, now_s):
         times = self._retry_times.get(account)
--- a/sesamespring/routing/messages.py
+++ b/sesamespring/routing/messages.py
@@ -52,6 +52,8 @@
     TOO_LATE = "too-late"
     NO_ATTEMPT_LEFT = "no-attempt-left"
     NO_UNTRIED_TARGET = "no-untried-target"
+    OVER_QUOTA = "over-quota"
+    QUOTA_UNKNOWN = "quota-unknown"
 
 
 @attrs.define(eq=False, slots=True)
@@ -76,6 +78,7 @@
         counted_elsewhere: Whether another VM may have counted it for its retry
             budget.
         account: Name of the client account that sends it, or an empty string.
+        tokens: Tokens of the account's quota that it holds and has not spent.
     """
 
     number: int
@@ -93,6 +96,7 @@
     data_centre: str = ""
     counted_elsewhere: bool = False
     account: str = ""
+    tokens: int = 0
 
     def may_be_sent(self, now_s):
         """Return whether attempts and time are left."""
--- a/sesamespring/routing/scheduler.py
+++ b/sesamespring/routing/scheduler.py
@@ -40,11 +40,14 @@
             ``platform.settings.Bounds``.
         budget: The RetryBudget of the service at this VM.
         limits: The StatedLimits of the targets.
+        take_token: Function of a ScheduledRequest that pays for a hedge from its
+            account's quota and returns whether it could, or None without quotas.
     """
 
-    def __init__(self, declaration, bounds, budget, limits=None):
+    def __init__(self, declaration, bounds, budget, limits=None, take_token=None):
         self._targets = ServiceTargets(declaration, bounds, limits)
         self._budget = budget
+        self._take_token = take_token
         self._waiting = {}
         self._requests = {}
         self._attempts = {}
@@ -254,8 +257,11 @@
             needed_s = slot.end_s(self._service_time_s(request), now_s) - now_s
             if not is_hedge_due(elapsed_s, active.expected_s, needed_s, request, now_s):
                 continue
-            if not self._budget.spend(now_s, self._targets.sharing_vms):
+            if not self._budget.allows(now_s, self._targets.sharing_vms):
                 return
+            if self._take_token is not None and not self._take_token(request):
+                continue
+            self._budget.spend(now_s, self._targets.sharing_vms)
             commands.append(self._dispatch(request, slot, now_s, True))
             free.remove(slot)
 
