Close the connections of stand-ins whose tasks never began

A task that is cancelled before its first step, as for connections accepted in a loop's last turns, runs no finally. Change: closing_at_end closes the connection when its task ends.

--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -8,6 +8,8 @@
 
 import attrs
 
+from standins.connections import closing_at_end
+
 __all__ = ["Arrival", "PlatformTarget", "ReceivedRequest"]
 
 # Delay between an early response and reading the rest of the request body.
@@ -155,7 +157,9 @@
 
     async def start(self, host, port):
         """Listen on an address."""
-        self._server = await asyncio.start_server(self._serve_connection, host, port)
+        self._server = await asyncio.start_server(
+            closing_at_end(self._serve_connection), host, port
+        )
 
     def end(self):
         """End as a crashed process does, and record the time."""
--- a/standins/store.py
+++ b/standins/store.py
@@ -14,6 +14,8 @@
 
 import attrs
 
+from standins.connections import closing_at_end
+
 __all__ = ["FakeStore", "StoreCall", "StoreCopy", "StoreFaults"]
 
 RESERVED_TABLES = ("op", "servers")
@@ -99,7 +101,9 @@
 
     async def start(self, host, port):
         """Listen on an address, in addition to those of earlier calls."""
-        server = await asyncio.start_server(self._serve_connection, host, port)
+        server = await asyncio.start_server(
+            closing_at_end(self._serve_connection), host, port
+        )
         self._servers.append(server)
 
     def close(self):
