--- a/tests/routing/quota_fleet.py
+++ b/tests/routing/quota_fleet.py
@@ -44,6 +44,7 @@
         self.offset_s = {name: self.rng.uniform(0, 1e5) for name in self.names}
         self.drift = {name: self.rng.uniform(0.9999, 1.0001) for name in self.names}
         self.vms = {}
+        self.orders = {}
         self.ran = collections.defaultdict(list)
         self.asked = collections.defaultdict(list)
         self.verdicts = collections.Counter()
@@ -53,7 +54,7 @@
         self._order = itertools.count()
         self._tickets = itertools.count()
         for name in self.names:
-            self.start(name)
+            self._start(name)
 
     def at(self, time_s, action, *arguments):
         heapq.heappush(self._events, (time_s, next(self._order), action, arguments))
@@ -70,6 +71,10 @@
     # Faults
 
     def start(self, name):
+        self._start(name)
+        self._notice()
+
+    def _start(self, name):
         now_s = self.clock(name)
         admission = AccountAdmission(TERMS, name, 1000 * next(self._epochs), now_s)
         self.vms[name] = admission
@@ -78,7 +83,6 @@
         self.views[name] = set(self.names) & self._reachable(name)
         self._update(name)
         self.at(self.now_s + TICK_S, self._tick, name, admission)
-        self._notice()
 
     def kill(self, name):
         self.up.discard(name)
@@ -131,7 +135,6 @@
         orders = {s: tuple(rank(s, alive)[:2]) for s in self.services}
         share = part_of_network(len(alive), len(self.names))
         self.vms[name].set_view(orders, share, self.clock(name))
-        self.orders = getattr(self, "orders", {})
         self.orders[name] = orders
 
     def _tick(self, name, admission):
@@ -161,7 +164,7 @@
             return
         self.asked[account].append(self.now_s)
         decider = self.orders[name][service][0]
-        reached = decider in self._reachable(name) and self._runs(decider)
+        reached = self.part[decider] == self.part[name] and self._runs(decider)
         if reached:
             self._admit(decider, account)
         else:
