Let client accounts take turns while slots are too few

Change: routing/fair_shares.py orders requests of one priority by start-time fair queueing over accounts, weighted by quota; make_plan uses it as soon as some waiting request misses its goal, and for late ones. Hedges and retries count for their account. Without accounts, or with one, the order is that of before.

--- a/sesamespring/gateway/slots/services.py
+++ b/sesamespring/gateway/slots/services.py
@@ -103,6 +103,7 @@
             return
         for name, declaration in configuration.services.items():
             self._update_service(name, declaration)
+            self._runners[name].scheduler.shares.set_accounts(configuration.accounts)
         keys = set()
         for runner in self._runners.values():
             keys.update(runner.scheduler.targets.states)
--- a/sesamespring/routing/scheduler.py
+++ b/sesamespring/routing/scheduler.py
@@ -4,6 +4,7 @@
 import math
 
 from sesamespring.routing import refusals
+from sesamespring.routing.fair_shares import FairShares
 from sesamespring.routing.hedging import is_hedge_due, is_overdue
 from sesamespring.routing.messages import Dispatch, Outcome
 from sesamespring.routing.queueing import make_plan
@@ -45,6 +46,7 @@
     def __init__(self, declaration, bounds, budget, limits=None):
         self._targets = ServiceTargets(declaration, bounds, limits)
         self._budget = budget
+        self._shares = FairShares()
         self._waiting = {}
         self._requests = {}
         self._attempts = {}
@@ -67,6 +69,11 @@
         """The ServiceTargets."""
         return self._targets
 
+    @property
+    def shares(self):
+        """The FairShares of the client accounts."""
+        return self._shares
+
     @property
     def needs_replanning(self):
         """Whether ``advance`` must be called even if no event occurs."""
@@ -168,7 +175,10 @@
             now_s,
             self._is_known,
             plan_all,
+            self._shares if self._shares.active else None,
         )
+        if plan_all:
+            self._shares.short = plan.short
         for assignment in plan.unreachable:
             self._refuse(assignment, now_s, commands)
         for assignment in plan.assignments:
@@ -200,6 +210,7 @@
             now_s, expected_s, slot.unsaturated_slowdown, reported, slot.saturates
         )
         state.start_attempt(attempt, active)
+        self._shares.record(request, self._service_time_s(request))
         if state.is_cold(now_s):
             state.cold_start_limiter.record(now_s)
         if state.pacer is not None:
