--- a/sesamespring/gateway/callers/forwarding.py
+++ b/sesamespring/gateway/callers/forwarding.py
@@ -124,6 +124,7 @@
         self._service = self._context.routes.choose_service(route)
         self._report.route = route.name
         self._report.service = self._service
+        self._report.account = account.name
         arrived_s = incoming.arrived_s
         deadline_s = arrived_s + min(routed.timeout_s, route.timeout_s)
         limit = self._context.cluster_state.configuration.limits.body_bytes_max
--- a/sesamespring/gateway/callers/request_report.py
+++ b/sesamespring/gateway/callers/request_report.py
@@ -3,11 +3,14 @@
 import asyncio
 import functools
 
+from sesamespring.gateway.callers.account_series import account_outcome
 from sesamespring.http.headers import header
 from sesamespring.routing.request_content import callers_content_id, content_id
 
 __all__ = ["RequestReport"]
 
+UNAUTHORIZED = 401
+
 
 class RequestReport:
     """Writes the log lines and counters of one request.
@@ -20,6 +23,7 @@
         request_id: The caller's request id in bytes, or None.
         route: Name of the route, or an empty string.
         service: Name of the service, or an empty string.
+        account: Name of the caller's account, or an empty string.
         decider: Name of the VM that scheduled the request last; ``here`` for this VM.
         attempts: Number of attempts that were started.
         body_start: The part of the body that was received before the first attempt, in
@@ -30,6 +34,7 @@
         self.request_id = None
         self.route = ""
         self.service = ""
+        self.account = ""
         self.decider = "here"
         self.attempts = 0
         self.body_start = b""
@@ -107,6 +112,7 @@
             "slot-refused",
             request=self._request_id_text(),
             service=self.service,
+            account=self.account or None,
             decider=self.decider,
             reason=refusal.reason.value,
             waiting=refusal.waiting,
@@ -126,8 +132,12 @@
         taken_s = self._loop.time() - self._incoming.arrived_s
         context.counters.add("requests", service=self.service, status=str(status))
         context.counters.observe(self.service, taken_s)
-        write = context.log.routine if 200 <= status < 300 else context.log.event
         configuration = context.cluster_state.configuration
+        if self.account:
+            self._count_for_account(status, configuration.accounts)
+        # Callers without a key must not crowd the lines of others out.
+        is_routine = 200 <= status < 300 or status == UNAUTHORIZED
+        write = context.log.routine if is_routine else context.log.event
         write(
             "request",
             request=self._request_id_text(),
@@ -135,11 +145,24 @@
             reason=reason,
             route=self.route,
             service=self.service,
+            account=self.account or None,
             attempts=self.attempts,
             taken_s=taken_s,
             configuration=configuration.version if configuration else 0,
             targets_age_s=context.cluster_state.registrations.age_s,
         )
 
+    def _count_for_account(self, status, accounts):
+        """Count the end of a request of an account.
+
+        Args:
+            status: HTTP status of the response, or 0.
+            accounts: Dict of Account by name that is in force now, or None.
+        """
+        context = self._context
+        label = context.account_series.label(self.account, len(accounts or ()))
+        outcome = account_outcome(status)
+        context.counters.add("account_requests", account=label, outcome=outcome)
+
     def _request_id_text(self):
         return (self.request_id or b"").decode("latin-1")
--- a/sesamespring/gateway/context.py
+++ b/sesamespring/gateway/context.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from sesamespring.gateway.callers.account_series import AccountSeries
+
 __all__ = ["GatewayContext"]
 
 
@@ -23,6 +25,7 @@
         data_centre: Name of this VM's data centre.
         longest_timeouts_s: Dict by route name of the longest timeout that a caller has
             stated, in seconds.
+        account_series: The AccountSeries.
         forwarders: Set of the RequestForwarders that wait for a target or a response.
     """
 
@@ -38,6 +41,7 @@
     log: object
     data_centre: str
     longest_timeouts_s: dict = attrs.field(factory=dict)
+    account_series: AccountSeries = attrs.field(factory=AccountSeries)
     forwarders: set = attrs.field(factory=set)
 
     def content_quarantined(self, content):
--- a/tests/gateway/test_accounts.py
+++ b/tests/gateway/test_accounts.py
@@ -6,12 +6,14 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
+from sesamespring.gateway.callers.account_series import AccountSeries
 from sesamespring.gateway.event_log import EventLog
 from sesamespring.gateway.members.datagrams import DatagramSocket
 from sesamespring.gateway.metrics import render
 from tests.gateway.cluster import (
     CALLERS_PORT,
     HOST,
+    SERVICE,
     configuration,
     read_response,
     route,
@@ -155,6 +157,33 @@
     return name + b": " + key.encode()
 
 
+def test_accounts_compete_and_are_counted_only_while_there_are_some():
+    async def scenario(cluster):
+        (daemon,) = cluster.daemons
+        shares = daemon._services.runner(SERVICE).scheduler.shares
+        assert not shares.active
+        await set_accounts(cluster, ACCOUNTS)
+        assert shares.active
+        await cluster.call(cluster.ips[0], "r", **with_key(KEY))
+        await set_accounts(cluster, None, 3)
+        assert not shares.active
+        await cluster.call(cluster.ips[0], "s", **with_key(KEY))
+        counted = daemon._counters.totals["account_requests"]
+        assert counted == {(("account", "anna"), ("outcome", "served")): 1}
+
+    run_scenario(scenario)
+
+
+def test_only_the_largest_of_many_accounts_have_series():
+    series = AccountSeries()
+    rare = [f"a{number}" for number in range(5000)]
+    labels = {series.label(name, 5000) for name in rare}
+    for number in range(20_000):
+        labels.add(series.label(f"large{number % 150}", 5000))
+    assert len(labels) == 101
+    assert sum(label.startswith("large") for label in labels) == 100
+
+
 def test_refused_and_pipelined_requests_keep_their_connection():
     async def scenario(cluster):
         await set_accounts(cluster, ACCOUNTS)
