--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -17,6 +17,7 @@
     READY_PORT,
     TARGET_PORT_MIN,
     SoakVm,
+    VmLimits,
 )
 from standins.platform_target import PlatformTarget
 from standins.store import FakeStore
@@ -67,6 +68,7 @@
         builds: Paths of the folders of the builds that VMs run: the first one at first,
             any of them after a restart.
         program: Path of the one binary that VMs run in place of a build, or None.
+        limits: The VmLimits of all VMs.
 
     Attributes:
         store: The FakeStore.
@@ -84,7 +86,14 @@
         builds: As the argument.
     """
 
-    def __init__(self, vms, folder, builds=(PRESENT_BUILD,), program=None):
+    def __init__(
+        self,
+        vms,
+        folder,
+        builds=(PRESENT_BUILD,),
+        program=None,
+        limits=VmLimits(),
+    ):
         # Each process and each cluster in it gets addresses of its own, so that test
         # runs at the same time and seeds in sequence do not share listening addresses.
         self._network = f"127.{64 + os.getpid() % 128}"
@@ -115,6 +124,7 @@
                 [other for other in ips[:3] if other != ip],
                 (self._ip(Subnet.STORE_LINKS, number), STORE_PORT),
                 folder,
+                limits,
             )
             for number, ip in enumerate(ips)
         ]
--- a/soak/vm.py
+++ b/soak/vm.py
@@ -6,9 +6,17 @@
 import subprocess
 import sys
 
+import attrs
+
 from soak.builds import PRESENT_BUILD
 
-__all__ = ["INTERPRETER_STARTED", "SILENT_LINKS", "TARGET_PORT_MIN", "SoakVm"]
+__all__ = [
+    "INTERPRETER_STARTED",
+    "SILENT_LINKS",
+    "TARGET_PORT_MIN",
+    "SoakVm",
+    "VmLimits",
+]
 
 CALLERS_PORT = 24000
 READY_PORT = 24001
@@ -33,8 +41,8 @@
 [self.limits]
 cpuShare = 1.0
 cpuCores = 1
-memoryMb = 300
-maxFds = 2000
+memoryMb = {limits.memory_mb}
+maxFds = {limits.descriptors_max}
 linkMbps = 1000.0
 [network]
 internalPortRange = [{internal}, {last}]
@@ -57,6 +65,19 @@
 """
 
 
+@attrs.frozen
+class VmLimits:
+    """What the settings grant a VM's process.
+
+    Attributes:
+        memory_mb: Memory, in megabytes.
+        descriptors_max: Maximum number of open file descriptors.
+    """
+
+    memory_mb: int = 300
+    descriptors_max: int = 2000
+
+
 class SoakVm:
     """An entry VM and its process.
 
@@ -69,6 +90,7 @@
         seeds: IP addresses of the VMs that it connects to first to find its peers.
         store_address: Pair of IP and port at which it reaches the store.
         folder: Path of the folder for settings and logs.
+        limits: The VmLimits in its settings.
 
     Attributes:
         name: Name of the VM.
@@ -79,7 +101,9 @@
             neither have another clock nor lose its links.
     """
 
-    def __init__(self, name, ip, data_centre, seeds, store_address, folder):
+    def __init__(
+        self, name, ip, data_centre, seeds, store_address, folder, limits=VmLimits()
+    ):
         self.name = name
         self.ip = ip
         self.lifetime = 0
@@ -102,6 +126,7 @@
                 internal=INTERNAL_PORT,
                 last=INTERNAL_PORT + 1,
                 stop_s=STOP_TIMEOUT_S,
+                limits=limits,
             ),
             encoding="utf-8",
         )
@@ -111,6 +136,11 @@
         """Whether its process is running."""
         return self._process is not None and self._process.poll() is None
 
+    @property
+    def pid(self):
+        """Id of its present process, or of the last one; None before the first."""
+        return None if self._process is None else self._process.pid
+
     @property
     def interpreter_started(self):
         """Whether its present process has come so far as to run the daemon's code."""
