Bound what callers' connections hold by the VM's memory

Cause: nothing limited what was kept for callers. A connection started 32 requests whatever they held, finished responses went into the write buffer without bound, and references in cycles (a disconnect's handler, errors raised again with their traceback) kept bodies of ended requests until the next garbage collection.

Change: connections state what they hold; routing/caller_memory.py sums it by client address and for the process, and lets connections wait, then refuses requests (503, before the body is read), then closes the largest holders. The next request of a connection starts only while no response of it is unread. A response goes on into memory within the connection's share, so a slow reader occupies no target; one of which nothing is read for the idle timeout is closed. At the maximum of connections the address with most gives way.

Ruled out: the heads cut short, which hold 16 KB each at most.

--- a/sesamespring/gateway/callers/caller_connections.py
+++ b/sesamespring/gateway/callers/caller_connections.py
@@ -1,9 +1,11 @@
 """Accept and limit the connections of a listening socket, and shut them down."""
 
 import asyncio
+import collections
 import socket
 
 from sesamespring.http.pipeline import CallerConnection, ServerLimits
+from sesamespring.routing.caller_memory import CallerMemory
 
 __all__ = ["CallerConnections"]
 
@@ -26,6 +28,7 @@
         limits: Function that returns the current ServerLimits.
         on_error: Function called with the IncomingRequest and the error if ``handle``
             fails; the request is answered all the same.
+        caller_limits: The CallerLimits, or None if only single connections are bounded.
     """
 
     def __init__(
@@ -34,11 +37,14 @@
         connections_max,
         limits=lambda: DEFAULT_LIMITS,
         on_error=lambda request, error: None,
+        caller_limits=None,
     ):
         self._handle = handle
         self._on_error = on_error
         self._connections_max = connections_max
         self._limits = limits
+        self._caller_limits = caller_limits
+        self._memory = caller_limits.memory if caller_limits else CallerMemory()
         self._open = set()
         self._tasks = set()
         self._stopping = False
@@ -51,6 +57,11 @@
         """Function that returns the ServerLimits."""
         return self._limits
 
+    @property
+    def memory(self):
+        """The CallerMemory that the connections use."""
+        return self._memory
+
     @property
     def stopping(self):
         """Whether connections are closed after the responses in progress."""
@@ -89,21 +100,46 @@
     def add(self, connection):
         """Register a new connection; return False if it must be refused."""
         if len(self._open) >= self._connections_max:
-            idle = [c for c in self._open if c.idle]
+            idle = [c for c in self._open if c.idle] or self._surplus(connection)
             if not idle:
                 return False
             oldest = min(idle, key=lambda c: c.idle_since_s)
             self._open.discard(oldest)
-            oldest.abort()
+            self.close_early(oldest, "connections")
         self._open.add(connection)
         return True
 
+    def _surplus(self, connection):
+        """Return the connections without a whole request that one may replace.
+
+        They are those of the client address with most connections, if it has more than
+        the client address of the new one.
+        """
+        counts = collections.Counter(c.caller_ip for c in self._open)
+        address, count = counts.most_common(1)[0]
+        if count <= counts[connection.caller_ip] + 1:
+            return []
+        return [c for c in self._open if c.caller_ip == address and c.has_no_request]
+
+    def relieve_memory(self):
+        """Close the connections that hold most, until the others keep the limit."""
+        for connection in self._memory.excess():
+            self.close_early(connection, "memory")
+
+    def close_early(self, connection, reason):
+        """Abort a connection for what its caller does; ``reason`` says why."""
+        if self._caller_limits:
+            self._caller_limits.record_closed(connection, reason)
+        connection.abort()
+
     def remove(self, connection):
         """Unregister a closed connection."""
         self._open.discard(connection)
 
     def handle(self, request):
         """Start a task that responds to an IncomingRequest."""
+        if not request.admitted and self._caller_limits:
+            self._caller_limits.record_refused(request)
         self._track(asyncio.get_running_loop().create_task(self._respond(request)))
 
     def stop_accepting(self):
@@ -154,6 +190,8 @@
                 request.abort()
             else:
                 request.send_whole(INTERNAL_ERROR, [], b"")
+        finally:
+            request.handled()
 
     def _make_connection(self):
         return CallerConnection(self)
--- a/sesamespring/gateway/callers/forwarding.py
+++ b/sesamespring/gateway/callers/forwarding.py
@@ -44,6 +44,7 @@
 # Time that a caller which states none is taken to have, before its route is known.
 TIMEOUT_UNSTATED_S = 1.0
 RETRY_AFTER_NO_SLOT_S = 0.5
+RETRY_AFTER_NO_MEMORY_S = 1.0
 RETRY_AFTER_NO_ATTEMPT_S = 0.05
 CALLER_DISCONNECTED = object()
 DEADLINE_REACHED = object()
@@ -81,6 +82,11 @@
         """Forward the request and respond, unless the caller disconnects."""
         try:
             self._report.request_id = read_request_id(self._incoming.headers)
+            if not self._incoming.admitted:
+                self._respond_locally(
+                    LocalResponse(503, "caller-memory", RETRY_AFTER_NO_MEMORY_S)
+                )
+                return
             await self._wait_until_ready()
             checked = check_request(self._incoming, self._context)
             if isinstance(checked, Failure):
@@ -156,6 +162,8 @@
             timer.cancel()
             slot_client.withdraw(self._slot_request)
             await self._cancel_attempts()
+            body.release()
+            self._report.body_start = b""
 
     def _make_outgoing(self, body):
         """Return the OutgoingRequest with a body."""
--- a/sesamespring/gateway/daemon.py
+++ b/sesamespring/gateway/daemon.py
@@ -9,6 +9,7 @@
 
 from sesamespring.errors import UserError
 from sesamespring.gateway.callers.caller_connections import CallerConnections
+from sesamespring.gateway.callers.caller_limits import CallerLimits
 from sesamespring.gateway.callers.forwarding import RequestForwarder
 from sesamespring.gateway.callers.request_quarantine import RequestQuarantine
 from sesamespring.gateway.coalesced_call import CoalescedCall
@@ -190,11 +191,15 @@
         )
         self._relay = RelayServer(self._context)
         self._quarantine.on_quarantined = self._context.content_quarantined
+        self._client_limits = CallerLimits(
+            settings.memory_bytes, self._counters, self._log
+        )
         self._callers = CallerConnections(
             self._serve,
             self._connections_max(),
             self._caller_limits,
             self._request_failed,
+            self._client_limits,
         )
         self._was_ready = False
 
@@ -271,8 +276,13 @@
         for handle, address in listeners:
             if address is None:
                 continue
+            is_public = address == settings.directory_address
             connections = CallerConnections(
-                handle, connections_max, lambda: INTERNAL_LIMITS, self._request_failed
+                handle,
+                connections_max,
+                lambda: INTERNAL_LIMITS,
+                self._request_failed,
+                self._client_limits if is_public else None,
             )
             stack.callback(connections.close)
             await connections.listen(address)
@@ -363,6 +373,8 @@
             self._quarantine.drop_expired()
             self._counters.set("vms_heard", len(self._peers.alive))
             self._counters.set("requests_in_progress", self._callers.in_progress)
+            held_bytes = self._client_limits.memory.used_bytes
+            self._counters.set("caller_memory_bytes", held_bytes)
 
     async def _stop_gracefully(self):
         """Withdraw from the directory, serve until its responses expire, then finish.
--- a/sesamespring/gateway/targets/relay_server.py
+++ b/sesamespring/gateway/targets/relay_server.py
@@ -157,6 +157,7 @@
             raise CallerDisconnected
         result = task.result()
         self._record(incoming, order, entry, body, result)
+        body.release()
         return result
 
     def _record(self, incoming, order, entry, body, result):
--- a/sesamespring/http/channel.py
+++ b/sesamespring/http/channel.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import copy
 import socket
 
 import h11
@@ -373,7 +374,8 @@
 
     async def _wait(self):
         if self._error is not None:
-            raise self._error
+            # The traceback of the error itself would keep this object in a cycle.
+            raise copy.copy(self._error)
         self._waiter = asyncio.get_running_loop().create_future()
         try:
             await self._waiter
--- a/sesamespring/http/incoming.py
+++ b/sesamespring/http/incoming.py
@@ -2,9 +2,16 @@
 
 import asyncio
 import collections
+import copy
 
 import h11
 
+from sesamespring.routing.caller_memory import (
+    BODY_COPIES,
+    KEPT_BODY_BYTES_MAX,
+    REQUEST_BYTES,
+)
+
 __all__ = ["CallerDisconnected", "IncomingRequest"]
 
 BODY_BUFFER_BYTES = 256 * 1024
@@ -52,6 +59,18 @@
         self._response_started = False
         self._finished = False
         self._disconnected = False
+        self._received_bytes = 0
+        self._response_bytes = 0
+        # What is counted for the request, for its body and for its held response.
+        self._request_bytes = 0
+        self._body_use_bytes = 0
+        self._held_bytes = 0
+        self._admitted = True
+
+    @property
+    def admitted(self):
+        """Whether the VM has memory for the request; if not, it must be refused."""
+        return self._admitted
 
     @property
     def method(self):
@@ -112,7 +131,8 @@
             if self._body_ended:
                 return
             if self._body_error is not None:
-                raise self._body_error
+                # The traceback of the error itself would keep the body in a cycle.
+                raise copy.copy(self._body_error)
             self._connection.resume_body()
             await self._wait_for_body()
 
@@ -150,14 +170,22 @@
             return
         self._emit(h11.EndOfMessage())
         self._finished = True
-        self._connection.response_finished(self)
+        self._connection.response_finished(self, self._response_bytes)
 
     async def drain(self):
-        """Wait for earlier responses and while the write buffer is full.
+        """Wait until the response may go on.
+
+        As long as the connection may hold more, that is at once, so that a caller that
+        reads slowly occupies no target. Otherwise it waits for earlier responses and
+        while the write buffer is full.
 
         Raises:
             CallerDisconnected: The caller disconnected.
         """
+        if self._disconnected:
+            raise CallerDisconnected
+        if self._may_go_on():
+            return
         if not self._may_write:
             self._write_waiter = asyncio.get_running_loop().create_future()
             await self._write_waiter
@@ -173,6 +201,7 @@
         """Write what was held, as all earlier responses are complete."""
         self._may_write = True
         held, self._held = self._held, []
+        self._release_held()
         try:
             for event in held:
                 self._emit(event)
@@ -182,10 +211,35 @@
         if self._write_waiter is not None and not self._write_waiter.done():
             self._write_waiter.set_result(None)
 
+    def admit(self, body_bytes):
+        """Count the request, and decide whether the VM has memory for it.
+
+        Args:
+            body_bytes: Length of its body as far as its head states it.
+        """
+        self._request_bytes = REQUEST_BYTES
+        self._body_use_bytes = _kept_bytes(body_bytes)
+        self._connection.use.add(self._request_bytes + self._body_use_bytes)
+        self._admitted = self._connection.account.is_admitted
+        if not self._admitted:
+            self._connection.use.add(-self._body_use_bytes)
+            self._body_use_bytes = 0
+
+    def handled(self):
+        """Release the memory of the request and its body, as its handler has ended."""
+        self.on_disconnect = None
+        released = self._request_bytes + self._body_use_bytes
+        self._request_bytes = self._body_use_bytes = 0
+        self._connection.use.add(-released)
+        self._connection.resume_reading_ahead()
+
     def feed_body(self, data):
         """Buffer a part of the body and return whether the buffer has room for more."""
         self._body.append(data)
         self._body_bytes += len(data)
+        self._received_bytes += len(data)
+        if self._admitted and self._request_bytes:
+            self._count_body()
         self._wake()
         return self._body_bytes < BODY_BUFFER_BYTES
 
@@ -206,6 +260,8 @@
         if not isinstance(error, CallerDisconnected) or self._disconnected:
             return
         self._disconnected = True
+        self._held = []
+        self._release_held()
         if self._write_waiter is not None and not self._write_waiter.done():
             self._write_waiter.set_result(None)
         if self.on_disconnect is not None:
@@ -226,8 +282,12 @@
         """Write a part of the response, or hold it until earlier ones are complete."""
         if self._disconnected:
             return
+        size = len(event.data) if isinstance(event, h11.Data) else 0
+        self._response_bytes += size
         if not self._may_write:
             self._held.append(event)
+            self._held_bytes += size
+            self._connection.use.add(size)
             return
         if isinstance(event, h11.Response) and self.closing:
             headers = [*event.headers, (b"Connection", b"close")]
@@ -236,6 +296,23 @@
             self._connection.close_announced()
         self._connection.write(self._state.send(event) or b"")
 
+    def _count_body(self):
+        """Count a body that is longer than its head has stated, if it did."""
+        grown = _kept_bytes(self._received_bytes) - self._body_use_bytes
+        if grown > 0:
+            self._body_use_bytes += grown
+            self._connection.use.add(grown)
+
+    def _may_go_on(self):
+        if self._may_write and not self._connection.is_unread:
+            return True
+        return self._connection.account.may_buffer
+
+    def _release_held(self):
+        released, self._held_bytes = self._held_bytes, 0
+        if released:
+            self._connection.use.add(-released)
+
     async def _wait_for_body(self):
         self._body_waiter = asyncio.get_running_loop().create_future()
         try:
@@ -246,3 +323,8 @@
     def _wake(self):
         if self._body_waiter is not None and not self._body_waiter.done():
             self._body_waiter.set_result(None)
+
+
+def _kept_bytes(body_bytes):
+    """Return what a body takes that is kept for a second attempt, in bytes."""
+    return BODY_COPIES * min(body_bytes, KEPT_BODY_BYTES_MAX)
--- a/sesamespring/http/pipeline.py
+++ b/sesamespring/http/pipeline.py
@@ -5,12 +5,16 @@
 
 import h11
 
+from sesamespring.http.connection_use import ConnectionUse
 from sesamespring.http.incoming import CallerDisconnected, IncomingRequest
 
 __all__ = ["CallerConnection", "ServerLimits"]
 
 PIPELINED_MAX = 32
-WRITE_BUFFER_BYTES = 256 * 1024
+# Above this, a response counts as unread.
+WRITE_BUFFER_BYTES = 64 * 1024
+# What is read at a time, and at most of requests that may not start yet.
+READ_BYTES = 64 * 1024
 LINGER_S = 1.0
 # After this many parts of requests the process does something else, unless each has
 # brought this many bytes of a body on average; then parsing pauses.
@@ -19,11 +23,17 @@
 PARSE_PAUSE_S = 0.005
 # Shortest time between two looks at the timeouts of a connection.
 TIMEOUT_CHECK_S_MIN = 0.05
+# Digits of a stated length that are read; more mean a body over every limit.
+LENGTH_DIGITS_MAX = 18
 BAD_REQUEST = 400
 REQUEST_TIMEOUT = 408
 HEAD_TOO_LARGE = 431
 
 
+# Filled and copied within one event, so all connections share it.
+_receive_buffer = memoryview(bytearray(READ_BYTES))
+
+
 class ServerLimits:
     """Limits for callers' connections, read again for each request.
 
@@ -39,7 +49,7 @@
         self.idle_timeout_s = idle_timeout_s
 
 
-class CallerConnection(asyncio.Protocol):
+class CallerConnection(asyncio.BufferedProtocol):
     """A caller's connection, on which requests may be pipelined.
 
     Args:
@@ -64,6 +74,27 @@
         self._timer = None
         self._head_started_s = None
         self._last_activity_s = 0.0
+        self._use = None
+
+    @property
+    def use(self):
+        """The ConnectionUse, which counts the memory that it takes."""
+        return self._use
+
+    @property
+    def account(self):
+        """The MemoryAccount of the connection."""
+        return self._use.account
+
+    @property
+    def is_unread(self):
+        """Whether the write buffer is full, as the caller does not read."""
+        return self._writable is not None
+
+    @property
+    def has_no_request(self):
+        """Whether no request is in progress; a head may be incomplete."""
+        return not self._pending
 
     @property
     def closing(self):
@@ -87,8 +118,9 @@
 
     @property
     def idle(self):
-        """Whether no request is in progress and no head is being received."""
-        return not self._pending and self._head_started_s is None
+        """Whether no request is in progress or waits, and no head is being received."""
+        waits = self._head_started_s is not None or self._paused
+        return not self._pending and not waits
 
     @property
     def idle_since_s(self):
@@ -99,19 +131,30 @@
         """Register the connection, or abort it if the owner does not accept it."""
         self._transport = transport
         transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
-        self._last_activity_s = self._loop.time()
+        now_s = self._last_activity_s = self._loop.time()
+        memory, relieve = self._owner.memory, self._owner.relieve_memory
+        self._use = ConnectionUse(
+            memory, self.caller_ip, self, transport, now_s, relieve
+        )
         if not self._owner.add(self):
             transport.abort()
             return
         self._start_parsing(b"")
         self._schedule_timeout_check()
 
-    def data_received(self, data):
-        """Parse data from the caller."""
+    def get_buffer(self, sizehint):
+        """Return the buffer for the next bytes from the caller."""
+        return _receive_buffer
+
+    def buffer_updated(self, nbytes):
+        """Parse bytes from the caller that are in the buffer."""
         self._last_activity_s = self._loop.time()
         if self._state is None:
             return
-        if self._head_started_s is None and self._current is None:
+        data = bytes(_receive_buffer[:nbytes])
+        self._use.received(nbytes)
+        waits = self._current is None and not self._paused
+        if waits and self._head_started_s is None:
             self._head_started_s = self._last_activity_s
         try:
             self._state.receive_data(data)
@@ -133,6 +176,7 @@
                 timer.cancel()
         if self._writable is not None:
             self._writable.set()
+        self._use.lost()
         self._owner.remove(self)
 
     def pause_writing(self):
@@ -144,11 +188,14 @@
         if self._writable is not None:
             self._writable.set()
             self._writable = None
+        self._use.update()
+        self.resume_reading_ahead()
 
     def write(self, data):
         """Write output of the first pending response, unless the connection is lost."""
         if not self._lost:
             self._transport.write(data)
+            self._use.written(len(data))
 
     async def drain(self):
         """Wait while the write buffer is full."""
@@ -157,16 +204,29 @@
 
     def resume_body(self):
         """Resume reading, as the body buffer of the current request has room."""
-        if self._paused and not self._lost:
-            self._paused = False
-            self._parse()
+        if not self._paused or self._lost:
+            return
+        if self._current is None:
+            if not self._may_start_next():
+                return
+            if self._use.unparsed_bytes:
+                self._head_started_s = self._loop.time()
+        self._paused = False
+        self._parse()
 
-    def response_finished(self, request):
+    def resume_reading_ahead(self):
+        """Read the next request if the connection has waited with it and may go on."""
+        if self._current is None:
+            self.resume_body()
+
+    def response_finished(self, request, size_bytes):
         """Start the next response after a complete one, or close the connection.
 
         Args:
             request: The IncomingRequest whose response is complete.
+            size_bytes: Size of its body.
         """
+        self._owner.memory.observe_response(size_bytes)
         if not self._pending or self._pending[0] is not request:
             return
         while self._pending and self._pending[0].finished:
@@ -223,6 +283,7 @@
         if self._current is None or self._current.body_ended:
             self._state = None
             self._head_started_s = None
+            self._use.parsed()
 
     def _close_when_read(self):
         """Close the connection after its caller, or ``LINGER_S`` after the last byte.
@@ -257,6 +318,7 @@
         limits = self._owner.limits()
         self._state = h11.Connection(h11.SERVER, limits.head_bytes_max)
         self._current = None
+        self._use.parsed(len(data))
         self._head_started_s = self._loop.time() if data else None
         if data:
             self._state.receive_data(data)
@@ -271,6 +333,9 @@
                 )
         except h11.RemoteProtocolError as error:
             self._reject_malformed(error)
+        if self._state is None:
+            self._use.parsed()
+        self._use.update()
         self._update_reading()
 
     def _end_parse_pause(self):
@@ -289,6 +354,8 @@
                 return True
             event = self._state.next_event()
             if event is h11.NEED_DATA or event is h11.PAUSED:
+                if self._current is not None:
+                    self._use.parsed()
                 return True
             if isinstance(event, h11.Data):
                 content_bytes += len(event.data)
@@ -300,7 +367,10 @@
         """Read only what can be parsed, or has to be ignored before the end."""
         if self._lost:
             return
-        if self._paused or self._parse_timer is not None:
+        # While requests wait, their caller's disconnect is noticed as long as it reads.
+        waits = self._paused and self._current is None
+        is_full = self._paused and not waits or self._use.unparsed_bytes >= READ_BYTES
+        if is_full or self._parse_timer is not None:
             self._transport.pause_reading()
         else:
             self._transport.resume_reading()
@@ -322,6 +392,7 @@
         request = IncomingRequest(self, self._state, event, self._loop.time())
         self._current = request
         self._pending.append(request)
+        request.admit(_stated_length(event))
         if len(self._pending) == 1:
             request.start_writing()
         self._owner.handle(request)
@@ -337,9 +408,23 @@
             self._state = None
             return
         self._start_parsing(trailing)
-        if len(self._pending) >= PIPELINED_MAX:
+        if not self._may_start_next():
+            # The time that a head may take begins when it is read.
+            self._head_started_s = None
             self._paused = True
 
+    def _may_start_next(self):
+        """Whether the next request may start; one may always be in progress.
+
+        None starts while an earlier response is unread, so that callers which do not
+        read take no slots of targets from those that do.
+        """
+        if self.is_unread:
+            return False
+        if not self._pending:
+            return True
+        return len(self._pending) < PIPELINED_MAX and self.account.may_start_another
+
     def _reject_malformed(self, error):
         state, self._state = self._state, None
         if self._current is not None and self._current in self._pending:
@@ -377,12 +462,22 @@
             state, self._state = self._state, None
             if state is not None:
                 self._send_error(state, REQUEST_TIMEOUT)
+        elif self._use.is_unread(now_s, limits.idle_timeout_s):
+            self._owner.close_early(self, "responses-unread")
         elif self.idle and now_s - self._last_activity_s >= limits.idle_timeout_s:
             self.close()
         if not self._lost:
             self._schedule_timeout_check()
 
 
+def _stated_length(event):
+    """Return the length of a body that the head of its request states, else 0."""
+    for name, value in event.headers:
+        if name == b"content-length":
+            return int(value[:LENGTH_DIGITS_MAX])
+    return 0
+
+
 def _check_head(event, bytes_max):
     names = [name for name, _ in event.headers]
     if b"content-length" in names and b"transfer-encoding" in names:
