Keep the time that callers take out of what the scheduler learns

Cause: while a caller did not read a response longer than 256 KB, its attempt looked overdue and so its target slow; when the caller left or the deadline passed inside it, that was a failure of the target, and three in a row rested it, up to all targets of a service ("no slot in time" with all slots free). A streamed upload's waits for its caller and the pause of a frozen process counted as service time. With an estimate past all deadlines nothing was sent, and nothing corrected it. (The time itself of a streamed response was not learned: taken_s ends with its first part.)

Change: SlotEnded with responding (field 20) ends the learning and keeps the slot; the end of a response by its caller is "cancelled"; waits for a body and pauses of 0.25 s or more are left out of taken_s; a caller that leaves inside its upload is no failure of the target. An idle route with a free slot gets one request at a time although the estimate says too late.

--- a/sesamespring/gateway/callers/forwarding.py
+++ b/sesamespring/gateway/callers/forwarding.py
@@ -369,6 +369,7 @@
         channel = result.response.channel
         deadline_s = self._slot_request.request.deadline_s
         has_target_ended = functools.partial(self._has_target_ended, result)
+        self._context.slot_client.response_started(self._slot_request, result.end)
         try:
             await stream_response(
                 self._incoming, result.response, deadline_s, has_target_ended
@@ -379,11 +380,13 @@
             self._report.finished(0, str(error))
             if channel.failed:
                 crashed = await has_target_ended()
+            elif error.by_caller:
+                outcome = Outcome.CANCELLED
         finally:
-            if outcome is Outcome.BROKEN:
-                channel.abort()
-            else:
+            if outcome is result.end.outcome:
                 self._put_back(result)
+            else:
+                channel.abort()
             end = attrs.evolve(result.end, outcome=outcome)
             self._context.slot_client.finish_attempt(self._slot_request, end)
             self._admission.attempt_ended(result.entry, outcome, crashed)
--- a/sesamespring/gateway/datagrams.thrift
+++ b/sesamespring/gateway/datagrams.thrift
@@ -134,6 +134,8 @@
   7: optional i32 slots
   8: optional double slowdown
   9: optional double cold_left_s
+  /* The response has begun: only the slot remains taken until the attempt ends. */
+  20: optional bool responding
 }
 
 /* Tells of crashes before the next heartbeat does. */
--- a/sesamespring/gateway/slots/slot_client.py
+++ b/sesamespring/gateway/slots/slot_client.py
@@ -134,6 +134,20 @@
         else:
             self._send_ended(grant, slot_request.number, end)
 
+    def response_started(self, slot_request, end):
+        """Report that a target responds, so that only its slot remains taken.
+
+        Args:
+            slot_request: The SlotRequest.
+            end: The AttemptEnded, as far as it is known.
+        """
+        started = attrs.evolve(end, responding=True)
+        grant = slot_request.granted.get(end.attempt)
+        if grant is None:
+            self._services.runner(slot_request.service).finish_attempt(started)
+        else:
+            self._send_ended(grant, slot_request.number, started)
+
     def withdraw(self, slot_request):
         """Remove a request that needs no further slot.
 
--- a/sesamespring/gateway/targets/attempt.py
+++ b/sesamespring/gateway/targets/attempt.py
@@ -60,7 +60,10 @@
         self._is_target_down = False
         self._clock = asyncio.get_running_loop().time
         self._started_s = self._clock()
+        self._paused_before_s = paths.paused_s
         self._sent = False
+        # Whether the caller, not the target, ended the exchange inside the body.
+        self._has_caller_failed = False
         self._channel = None
         self._metadata = None
 
@@ -97,6 +100,9 @@
         if not self._sent:
             return self._result(Outcome.NOT_SENT, reason=reason)
         result = self._result(Outcome.BROKEN, reason=reason)
+        if self._has_caller_failed:
+            end = attrs.evolve(result.end, blameless=True)
+            return attrs.evolve(result, end=end)
         if self._relay is not None:
             return result
         cause = await self._paths.break_cause(self._entry)
@@ -261,7 +267,8 @@
                 channel.send_data(piece)
                 await channel.drain()
             channel.send_end()
-        except (ConnectionError, h11.ProtocolError):
+        except (ConnectionError, h11.ProtocolError) as error:
+            self._has_caller_failed = not isinstance(error, ChannelClosed)
             channel.abort()
 
     async def _receive(self, channel, is_first):
@@ -365,10 +372,12 @@
 
     def _result(self, outcome, response=None, reason=""):
         metadata = self._metadata
+        paused_s = self._paths.paused_s - self._paused_before_s
+        elapsed_s = self._clock() - self._started_s - paused_s
         end = AttemptEnded(
             attempt=self._dispatch.attempt,
             outcome=outcome,
-            taken_s=self._clock() - self._started_s,
+            taken_s=max(0.0, elapsed_s - self._outgoing.body.waited_s),
             load=metadata.load if metadata else None,
             cold_left_s=metadata.cold_left_s if metadata else None,
             limit_per_s=self._stated_limit(),
--- a/sesamespring/gateway/targets/target_paths.py
+++ b/sesamespring/gateway/targets/target_paths.py
@@ -19,6 +19,8 @@
 __all__ = ["BreakCause", "ReachReport", "TargetPaths"]
 
 ROUND_INTERVAL_S = 0.25
+# A round that ends this late shows that the process has been paused.
+PAUSE_MIN_S = 0.25
 # Time between two tests of the link to a target that could not be reached.
 RETEST_INTERVAL_S = 0.5
 RETESTS_PER_ROUND = 2
@@ -93,6 +95,12 @@
         self._tests = {}
         self._lost_s = {}
         self._watchers = {}
+        self._paused_s = 0.0
+
+    @property
+    def paused_s(self):
+        """Sum of the times for which this process has been paused, in seconds."""
+        return self._paused_s
 
     @property
     def connections(self):
@@ -240,9 +248,13 @@
         """Test links until cancelled, while some have failed."""
         try:
             while True:
-                self._test_links(self._loop.time())
+                started_s = self._loop.time()
+                self._test_links(started_s)
                 self._judge()
                 await asyncio.sleep(ROUND_INTERVAL_S)
+                late_s = self._loop.time() - started_s - ROUND_INTERVAL_S
+                if late_s >= PAUSE_MIN_S:
+                    self._paused_s += late_s
         finally:
             for task in tuple(self._tests.values()):
                 task.cancel()
--- a/sesamespring/routing/messages.py
+++ b/sesamespring/routing/messages.py
@@ -114,6 +114,8 @@
         blameless: Whether the cause lies with the VM, which lost its link to the
             target or keeps to what the target asked of it, so that the end says
             nothing about the target.
+        responding: Whether the response has only begun. The rest depends on how fast
+            the caller reads, so only the slot remains taken until the attempt ends.
     """
 
     attempt: int
@@ -123,6 +125,7 @@
     cold_left_s: float | None = None
     limit_per_s: float | None = None
     blameless: bool = False
+    responding: bool = False
 
 
 @attrs.frozen
--- a/sesamespring/routing/scheduler.py
+++ b/sesamespring/routing/scheduler.py
@@ -19,12 +19,16 @@
 # takes is proportional to its length.
 FULL_PLAN_QUEUE_MAX = 32
 FULL_PLAN_INTERVAL_S = 0.02
+# A route that was idle so long may also try a request with less time than its goal.
+TRIAL_INTERVAL_S = 1.0
 
 # A target that was given at least this multiple of the expected duration has failed if
 # the caller's deadline ends the attempt. Given less, the request was sent too late.
 ENOUGH_TIME_FACTOR = 4.0
 
 _FAILURES = frozenset({Outcome.FAILED, Outcome.BROKEN})
+# How an attempt fails after its response has begun.
+_BREAKS = frozenset({Outcome.BROKEN})
 _RESPONSES = frozenset({Outcome.ANSWERED, Outcome.FAILED, Outcome.REJECTED})
 
 
@@ -51,6 +55,8 @@
         self._numbers = itertools.count(1)
         self._service_times = ServiceTimes()
         self._last_full_plan_s = -math.inf
+        # Time of the latest attempt by route.
+        self._sent_s = {}
 
     @property
     def waiting(self):
@@ -110,6 +116,9 @@
         Returns:
             List of Dispatch and Refusal commands.
         """
+        if ended.responding:
+            self._record_response(ended, now_s)
+            return []
         found = self._attempts.pop(ended.attempt, None)
         if found is None:
             return []
@@ -118,9 +127,21 @@
         active = state.end_attempt(ended.attempt)
         self._targets.drop_if_removed(state)
         self._learn(request, state, active, ended, now_s)
-        self._targets.record_load(state.entry.key, ended.load, ended.cold_left_s, now_s)
+        if not active.responding:
+            self._record_load(state, ended, now_s)
         return self._serve_waiting(now_s, False)
 
+    def _record_response(self, ended, now_s):
+        """Learn from an attempt whose response has begun; its slot remains taken."""
+        request, state = self._attempts.get(ended.attempt, (None, None))
+        if state is None or state.active_attempts[ended.attempt].responding:
+            return
+        active = state.active_attempts[ended.attempt]
+        self._learn(request, state, active, ended, now_s)
+        active.responding = True
+        state.invalidate_cache()
+        self._record_load(state, ended, now_s)
+
     def advance(self, now_s):
         """Plan the queue again, send hedges if it is empty, and return the commands."""
         commands = self._serve_waiting(now_s, True)
@@ -170,7 +191,10 @@
             plan_all,
         )
         for assignment in plan.unreachable:
-            self._refuse(assignment, now_s, commands)
+            if self._is_trial(assignment, now_s):
+                self._send(assignment, now_s, commands)
+            else:
+                self._refuse(assignment, now_s, commands)
         for assignment in plan.assignments:
             number = assignment.request.number
             if number not in self._waiting:
@@ -182,6 +206,21 @@
             ):
                 self._refuse_tried(assignment.request, commands)
 
+    def _is_trial(self, assignment, now_s):
+        """Whether a request is sent although its estimated end is past its deadline.
+
+        With a free slot and no attempt of the route in progress, nothing else would
+        correct the estimate.
+        """
+        request = assignment.request
+        if not assignment.starts_now or not request.may_be_sent(now_s):
+            return False
+        if any(r.route == request.route for r, _ in self._attempts.values()):
+            return False
+        idle_s = now_s - self._sent_s.get(request.route, -math.inf)
+        left_s = request.deadline_s - now_s
+        return left_s >= request.goal_s or idle_s >= TRIAL_INTERVAL_S
+
     def _send(self, assignment, now_s, commands):
         request, slot = assignment.request, assignment.slot
         if request.extra and not self._budget.spend(now_s, self._targets.sharing_vms):
@@ -209,6 +248,7 @@
         request.attempts_left -= 1
         request.extra = True
         self._attempts[attempt] = (request, state)
+        self._sent_s[request.route] = now_s
         return Dispatch(
             request,
             attempt,
@@ -240,7 +280,7 @@
         for attempt, (request, state) in tuple(self._attempts.items()):
             active = state.active_attempts[attempt]
             elapsed_s = now_s - active.sent_s
-            if not is_overdue(elapsed_s, active.expected_s):
+            if active.responding or not is_overdue(elapsed_s, active.expected_s):
                 continue
             if not self._may_hedge(request):
                 continue
@@ -299,11 +339,14 @@
     def _service_time_s(self, request):
         return self._service_times.service_time_s(request.route, request.goal_s)
 
+    def _record_load(self, state, ended, now_s):
+        self._targets.record_load(state.entry.key, ended.load, ended.cold_left_s, now_s)
+
     def _learn(self, request, state, active, ended, now_s):
         outcome = ended.outcome
         if outcome in _RESPONSES:
             state.heard_s = now_s
-        if ended.blameless:
+        if ended.blameless or active.responding and outcome not in _BREAKS:
             return
         if outcome is Outcome.ANSWERED:
             unloaded_s = self._service_time_s(request)
--- a/sesamespring/routing/target_state.py
+++ b/sesamespring/routing/target_state.py
@@ -40,6 +40,8 @@
         slowdown_at_dispatch: The part of that slowdown that load reports and cold start
             explained.
         saturates: Whether it took the last of several slots.
+        responding: Whether its response has begun, so that the rest of its time is its
+            caller's.
     """
 
     sent_s: float
@@ -47,6 +49,7 @@
     unsaturated_slowdown: float
     slowdown_at_dispatch: float
     saturates: bool
+    responding: bool = False
 
     def expected_end_s(self, now_s):
         """Return the expected time of its end.
@@ -270,6 +273,8 @@
         """Return the slowdown that the most overdue attempt implies, or 0."""
         slowdown = 0.0
         for active in self.active_attempts.values():
+            if active.responding:
+                continue
             elapsed_s = now_s - active.sent_s
             if elapsed_s > active.expected_s > 0:
                 slowdown = max(
