--- a/sesamespring/gateway/callers/forwarding.py
+++ b/sesamespring/gateway/callers/forwarding.py
@@ -46,6 +46,7 @@
 # Time that a caller which states none is taken to have, before its route is known.
 TIMEOUT_UNSTATED_S = 1.0
 RETRY_AFTER_NO_SLOT_S = 0.5
+RETRY_AFTER_NO_MEMORY_S = 1.0
 RETRY_AFTER_NO_ATTEMPT_S = 0.05
 CALLER_DISCONNECTED = object()
 DEADLINE_REACHED = object()
@@ -84,6 +85,11 @@
         """Forward the request and respond, unless the caller disconnects."""
         try:
             self._report.request_id = read_request_id(self._incoming.headers)
+            if not self._incoming.admitted:
+                self._respond_locally(
+                    LocalResponse(503, "caller-memory", RETRY_AFTER_NO_MEMORY_S)
+                )
+                return
             await self._wait_until_ready()
             checked = check_request(self._incoming, self._context)
             if isinstance(checked, Failure):
@@ -163,6 +169,8 @@
             timer.cancel()
             slot_client.withdraw(self._slot_request)
             await self._cancel_attempts()
+            body.release()
+            self._report.body_start = b""
 
     def _make_outgoing(self, body):
         """Return the OutgoingRequest with a body."""
@@ -394,6 +402,7 @@
         channel = result.response.channel
         deadline_s = self._slot_request.request.deadline_s
         has_target_ended = functools.partial(self._has_target_ended, result)
+        self._context.slot_client.response_started(self._slot_request, result.end)
         try:
             await stream_response(
                 self._incoming, result.response, deadline_s, has_target_ended
@@ -404,11 +413,13 @@
             self._report.finished(0, str(error))
             if channel.failed:
                 crashed = await has_target_ended()
+            elif error.by_caller:
+                outcome = Outcome.CANCELLED
         finally:
-            if outcome is Outcome.BROKEN:
-                channel.abort()
-            else:
+            if outcome is result.end.outcome:
                 self._put_back(result)
+            else:
+                channel.abort()
             end = attrs.evolve(result.end, outcome=outcome)
             self._context.slot_client.finish_attempt(self._slot_request, end)
             self._admission.attempt_ended(result.entry, outcome, crashed)
