--- a/sesamespring/gateway/slots/quota_gate.py
+++ b/sesamespring/gateway/slots/quota_gate.py
@@ -12,11 +12,8 @@
     TokensWanted,
 )
 from sesamespring.gateway.slots.quota_report import QuotaReport
-from sesamespring.routing.account_admission import (
-    AccountAdmission,
-    SendAsk,
-    Verdict,
-)
+from sesamespring.routing.account_admission import AccountAdmission, Verdict
+from sesamespring.routing.lender_asks import SendAsk
 from sesamespring.routing.messages import Dispatch, Refusal, RefusalReason
 from sesamespring.routing.quotas import QuotaTerms, part_of_network
 from sesamespring.routing.token_lender import Ask, Gift
--- a/sesamespring/routing/account_admission.py
+++ b/sesamespring/routing/account_admission.py
@@ -16,18 +16,13 @@
 
 import attrs
 
+from sesamespring.routing.lender_asks import Lenders
 from sesamespring.routing.quotas import RetryTimes
-from sesamespring.routing.token_borrower import AskSeries, TokenReserve
+from sesamespring.routing.token_borrower import TokenReserve
 from sesamespring.routing.token_lender import Ask, TokenLender
 
-__all__ = ["AccountAdmission", "Decision", "SendAsk", "Verdict"]
+__all__ = ["AccountAdmission", "Decision", "Verdict"]
 
-ANSWER_TIMEOUT_S = 0.03
-ASKS_MAX = 3
-# For how long a lender that did not answer is left out.
-SILENCE_S = 0.5
-# Shortest time between two asks that only fill the reserve.
-REFILL_INTERVAL_S = 0.02
 # Longest time for which requests are refused without a new ask.
 REFUSE_S = 0.05
 RETRY_UNKNOWN_S = 0.25
@@ -65,48 +60,6 @@
     retry_after_s: float = 0.0
 
 
-@attrs.frozen
-class SendAsk:
-    """Command: send an ask to a lender.
-
-    Attributes:
-        address: Address of the lender.
-        epoch: Number of the series of asks.
-        number: Number of the ask in the series.
-        answered: Number of the latest ask whose answer was taken.
-        asks: Tuple of Ask.
-    """
-
-    address: object
-    epoch: int
-    number: int
-    answered: int
-    asks: tuple
-
-
-@attrs.define
-class _Lender:
-    """Another VM that this one asks.
-
-    Attributes:
-        series: The AskSeries.
-        asked_s: Time of the latest ask.
-        needed: Dict by account of the number of requests that it was for, and of the
-            tokens asked for in reserve.
-        unanswered: Number of asks since the last answer.
-        silent_until_s: Until when it is left out.
-        unknown_until_s: Dict by account that it has no limit of, until when it is left
-            out.
-    """
-
-    series: AskSeries
-    asked_s: float = -math.inf
-    needed: dict = attrs.field(factory=dict)
-    unanswered: int = 0
-    silent_until_s: float = -math.inf
-    unknown_until_s: dict = attrs.field(factory=dict)
-
-
 class AccountAdmission:
     """The quotas at one VM.
 
@@ -120,16 +73,16 @@
     def __init__(self, terms, own_address, first_epoch, now_s):
         self._terms = terms
         self._own_address = own_address
-        self._epoch = first_epoch
         self._tokens = TokenLender(terms, now_s)
         self._reserve = TokenReserve()
         self._orders = {}
         self._services = 0
         self._decides = False
-        self._lenders = {}
+        self._lenders = Lenders(first_epoch)
         # By account: the tickets that wait for tokens, in order of arrival.
         self._parked = collections.defaultdict(dict)
-        self._to_fill = set()
+        # Accounts whose reserve is short; a dict, as it keeps their order.
+        self._to_fill = {}
         self._to_return = collections.Counter()
         self._refuse_until_s = {}
         self._retry_times = {}
@@ -213,9 +166,9 @@
     def poll(self, now_s):
         """Return the SendAsks and Decisions that are due; to be called again soon."""
         outputs = []
-        self._check_silence(now_s)
+        self._lenders.check_silence(now_s)
         wanted = collections.defaultdict(list)
-        for account in {*self._parked, *self._to_fill, *self._to_return}:
+        for account in {**self._parked, **self._to_fill, **self._to_return}:
             address = self._lender_address(account, now_s)
             if address is None or address == self._own_address:
                 self._settle_here(account, address is None, outputs, now_s)
@@ -242,18 +195,13 @@
             gifts: Iterable of Gift.
             now_s: Current time.
         """
-        lender = self._lenders.get(address)
-        if lender is None or not lender.series.take_answer(epoch, number, now_s):
-            return []
-        lender.unanswered = 0
-        needed, lender.needed = lender.needed, {}
+        asked = self._lenders.take_answer(address, epoch, number, now_s)
         outputs = []
         for gift in gifts:
-            counts = needed.pop(gift.account, None)
-            if counts is not None:
-                self._take_gift(gift, *counts, outputs, now_s)
-        for account in needed:
-            lender.unknown_until_s[account] = now_s + SILENCE_S
+            ask = asked.pop(gift.account, None)
+            if ask is not None:
+                self._take_gift(gift, ask, outputs, now_s)
+        self._lenders.set_unknown(address, asked, now_s)
         return outputs
 
     def _take_here(self, account, now_s):
@@ -261,7 +209,7 @@
         if self._reserve.take(account, now_s):
             goal = self._reserve_goal(account, now_s)
             if 2 * self._reserve.tokens(account) < goal:
-                self._to_fill.add(account)
+                self._to_fill[account] = None
             return True
         if self._lender_address(account, now_s) == self._own_address:
             return self._tokens.take(account, now_s)
@@ -269,26 +217,12 @@
 
     def _lender_address(self, account, now_s):
         """Return the address of the VM to take tokens from; None if all are silent."""
-        for address in self._orders.get(self._tokens.home_service(account), ()):
-            lender = self._lenders.get(address)
-            if lender is None:
-                return address
-            unknown_until_s = lender.unknown_until_s.get(account, -math.inf)
-            if now_s >= max(lender.silent_until_s, unknown_until_s):
-                return address
-        return None
-
-    def _check_silence(self, now_s):
-        for lender in self._lenders.values():
-            if lender.series.is_answered or now_s < lender.asked_s + ANSWER_TIMEOUT_S:
-                continue
-            if lender.unanswered >= ASKS_MAX:
-                lender.unanswered = 0
-                lender.silent_until_s = now_s + SILENCE_S
+        order = self._orders.get(self._tokens.home_service(account), ())
+        return self._lenders.first(order, account, now_s)
 
     def _settle_here(self, account, unknown, outputs, now_s):
         """Decide on parked requests of an account that no other VM lends to."""
-        self._to_fill.discard(account)
+        self._to_fill.pop(account, None)
         returned = self._to_return.pop(account, 0)
         self._tokens.give_back(account, returned, now_s)
         for ticket in self._parked.pop(account, ()):
@@ -299,14 +233,9 @@
                 outputs.append(self.admit(ticket, account, now_s))
 
     def _ask(self, address, accounts, outputs, now_s):
-        lender = self._lenders.get(address)
-        if lender is None:
-            self._epoch += 1
-            lender = self._lenders[address] = _Lender(AskSeries(self._epoch))
-        since_s = now_s - lender.asked_s
-        if not lender.series.is_answered and since_s < ANSWER_TIMEOUT_S:
-            return
-        if since_s < REFILL_INTERVAL_S and not any(a in self._parked for a in accounts):
+        """Ask a lender, first for accounts whose requests wait."""
+        is_urgent = any(account in self._parked for account in accounts)
+        if not self._lenders.is_ask_due(address, is_urgent, now_s):
             return
         accounts.sort(key=lambda account: account not in self._parked)
         asks = []
@@ -316,29 +245,23 @@
             if size > ASK_BYTES_MAX:
                 break
             asks.append(self._make_ask(account, now_s))
-        lender.series.begin(now_s)
-        lender.asked_s = now_s
-        lender.unanswered += 1
-        lender.needed = {ask.account: (ask.needed, ask.reserve) for ask in asks}
-        series = lender.series
-        number, answered = series.number, series.answered
-        outputs.append(SendAsk(address, series.epoch, number, answered, tuple(asks)))
+        outputs.append(self._lenders.ask(address, asks, now_s))
 
     def _make_ask(self, account, now_s):
-        self._to_fill.discard(account)
+        self._to_fill.pop(account, None)
         returned = self._to_return.pop(account, 0)
         needed = len(self._parked.get(account, ()))
         goal = self._reserve_goal(account, now_s)
         reserve = max(0, goal - self._reserve.tokens(account))
         return Ask(account, needed, reserve, returned)
 
-    def _take_gift(self, gift, count, reserve, outputs, now_s):
-        """Serve the first ``count`` parked requests with a Gift."""
+    def _take_gift(self, gift, ask, outputs, now_s):
+        """Serve the parked requests that an Ask was for with the Gift in return."""
         account = gift.account
-        tokens = min(max(0, gift.tokens), count + reserve)
+        tokens = min(max(0, gift.tokens), ask.needed + ask.reserve)
         due_in_s = min(max(0.0, gift.due_in_s), self._terms.window_s)
         tickets = self._parked.get(account, {})
-        asked_for = list(tickets)[:count]
+        asked_for = list(tickets)[: ask.needed]
         admitted = asked_for[:tokens]
         refused = asked_for[tokens:]
         for ticket in asked_for:
--- a/sesamespring/routing/token_lender.py
+++ b/sesamespring/routing/token_lender.py
@@ -24,6 +24,8 @@
 # Within this time all VMs of one part of the network hear of a change of VMs.
 START_S = 1.5
 START_RATE_PART = 0.4
+# When the callers that a stand-in refuses may try again; there may be a lender then.
+STAND_IN_DUE_S = 0.5
 # A VM that was paused for this long may have been taken for silent by others.
 PAUSE_MIN_S = 0.6
 # VMs learn at different times that there are other services, which have other lenders.
@@ -181,12 +183,12 @@
     def due_in_s(self, account, now_s):
         """Return the seconds until an account's next token, at most a window.
 
-        A stand-in does not know; by then there may be a lender.
+        A stand-in does not know.
         """
         limit = self._accounts.get(account)
         bucket = self._bucket(account, now_s) if limit else None
         if bucket is None:
-            return START_S
+            return STAND_IN_DUE_S
         due_s = bucket.due_in_s(limit.rate_per_s * self._share)
         return min(due_s, self._terms.window_s)
 
--- a/tests/routing/quota_fleet.py
+++ b/tests/routing/quota_fleet.py
@@ -6,11 +6,8 @@
 import itertools
 import random
 
-from sesamespring.routing.account_admission import (
-    AccountAdmission,
-    SendAsk,
-    Verdict,
-)
+from sesamespring.routing.account_admission import AccountAdmission, Verdict
+from sesamespring.routing.lender_asks import SendAsk
 from sesamespring.routing.quotas import QuotaTerms, part_of_network
 from sesamespring.routing.rendezvous import rank
 
@@ -24,6 +21,8 @@
 # Share of datagrams that are lost, repeated and late.
 LOSS, REPEAT, LATE = 0.02, 0.02, 0.01
 LATE_S = 3.0
+# Longest time of an ask and its answer.
+ROUND_TRIP_S = 0.01
 
 
 class Fleet:
@@ -203,7 +202,7 @@
         if self.lossy:
             copies = self.rng.choices((0, 1, 2), (LOSS, 1 - LOSS - REPEAT, REPEAT))[0]
         for _ in range(copies):
-            delay_s = self.rng.uniform(0.0005, 0.005)
+            delay_s = self.rng.uniform(0.1, 1) * ROUND_TRIP_S / 2
             if self.lossy and self.rng.random() < LATE:
                 delay_s = self.rng.uniform(0, LATE_S)
             arguments_there = (sender, receiver, handler, arguments)
--- a/tests/routing/test_quotas.py
+++ b/tests/routing/test_quotas.py
@@ -3,8 +3,10 @@
 The windows' bound is the rule's. What lies within the quota is what one bucket for the
 whole fleet would have admitted. Bounds for what is refused of it, by kind of fault:
 
-- none: a token may be on its way to another VM, or in another decider's reserve. 1 in
-  100 is the stated aim.
+- none: what an account got lags behind what one bucket would have given by the tokens
+  in the deciders' reserves, and by what is earned while borrowers refuse without an
+  ask and an ask is on its way. The lag does not add up. Where datagrams are lost, three
+  lost asks in a row leave a lender out for ``SILENCE_S``: 1 in 100 is the bound there.
 - the lender of an account fails: the account has no lender for about ``SILENT_S``, and
   for ``START_S`` a part of its rate; then it earns its burst anew, all within a window.
 - VMs are gone for good: the others can't tell that from a divided network.
@@ -16,12 +18,13 @@
 
 import pytest
 
-from sesamespring.routing.account_admission import SendAsk, Verdict
+from sesamespring.routing.account_admission import REFUSE_S, Verdict
+from sesamespring.routing.lender_asks import SendAsk
 from sesamespring.routing.quotas import QuotaTerms, home_service, part_of_network
 from sesamespring.routing.records import Account
 from sesamespring.routing.token_borrower import ANSWER_VALID_S, AskSeries
 from sesamespring.routing.token_lender import START_S, Ask, TokenLender
-from tests.routing.quota_fleet import TERMS, Fleet
+from tests.routing.quota_fleet import ROUND_TRIP_S, TERMS, Fleet, ideal
 
 WINDOW_S = TERMS.window_s
 STEADY_LOSS_MAX = 0.01
@@ -101,11 +104,20 @@
 }
 
 
-@pytest.mark.parametrize(
-    ("vms", "count", "load"), [(12, 72, 0.7), (94, 72, 0.7), (312, 72, 0.7)]
-)
-def test_account_within_its_quota_is_not_refused(vms, count, load):
-    fleet = loaded(vms, skewed(count), load, hot="a0")
+@pytest.mark.parametrize(("vms", "load"), [(12, 0.7), (94, 0.7), (94, 3.0), (312, 0.7)])
+def test_account_within_its_quota_is_not_refused(vms, load):
+    fleet = loaded(vms, skewed(72), load, lossy=False, hot="a0")
+    fleet.run(END_S)
+    assert fleet.worst() <= 1
+    for name, account in fleet.accounts.items():
+        reserves = len(fleet.services) * TERMS.reserve_max(account, 4)
+        lag = 1 + reserves + account.rate_per_s * (REFUSE_S + 2 * ROUND_TRIP_S)
+        assert len(fleet.ran[name]) >= len(ideal(fleet.asked[name], account)) - lag
+
+
+@pytest.mark.parametrize("load", [0.7, 3.0])
+def test_lost_datagrams_cost_little(load):
+    fleet = loaded(94, skewed(72), load, hot="a0")
     fleet.run(END_S)
     assert fleet.worst() <= 1
     assert fleet.refused_within_quota(START_LOAD_S) <= STEADY_LOSS_MAX
