Let the soak's callers use keys, and check accounts in random orders of events

Each version of the soak's configuration has a key of its own beside two that last; callers also send unknown keys, keys taken away and a forged account. Promises: key-in-force, key-passed-on, key-refused, key-never-back, account-starved; 401 joins the answers that say a request has not run. Earlier seeds choose what they chose, as keys have a random source of their own. Accounts are left out beside an earlier build, which asks for no key.

Log lines have no empty field for an account where there is none.

--- a/sesamespring/gateway/callers/request_report.py
+++ b/sesamespring/gateway/callers/request_report.py
@@ -112,7 +112,7 @@
             "slot-refused",
             request=self._request_id_text(),
             service=self.service,
-            account=self.account or None,
+            **self._account_field(),
             decider=self.decider,
             reason=refusal.reason.value,
             waiting=refusal.waiting,
@@ -145,13 +145,17 @@
             reason=reason,
             route=self.route,
             service=self.service,
-            account=self.account or None,
+            **self._account_field(),
             attempts=self.attempts,
             taken_s=taken_s,
             configuration=configuration.version if configuration else 0,
             targets_age_s=context.cluster_state.registrations.age_s,
         )
 
+    def _account_field(self):
+        """Return the field of a log line that names the account, if there is one."""
+        return {"account": self.account} if self.account else {}
+
     def _count_for_account(self, status, accounts):
         """Count the end of a request of an account.
 
--- a/sesamespring/gateway/store/cluster_state.py
+++ b/sesamespring/gateway/store/cluster_state.py
@@ -257,19 +257,15 @@
             later: Whether the change of its row has been reported before.
         """
         configuration = loaded.configuration
-        names = configuration.account_names
         # The keys themselves are needed no more.
         self._configuration = attrs.evolve(configuration, account_names={})
         self._account_keys = loaded.account_keys
-        accounts = configuration.accounts
         self._log.event(
             "configuration-in-force",
             version=f"{configuration.version:08x}",
             row=loaded.row,
             routes=len(configuration.routes),
-            accounts=None if accounts is None else len(accounts),
-            keys=None if accounts is None else len(names),
-            ambiguous_keys=sum(not name for name in names.values()) or None,
+            **loaded.account_counts,
         )
         if later:
             self._on_change()
--- a/sesamespring/gateway/store/configuration_loader.py
+++ b/sesamespring/gateway/store/configuration_loader.py
@@ -26,6 +26,18 @@
     account_keys: object
     row: int
 
+    @property
+    def account_counts(self):
+        """Dict of numbers of accounts and keys for the log, empty without accounts."""
+        if self.account_keys is None:
+            return {}
+        names = self.configuration.account_names.values()
+        return {
+            "accounts": len(self.configuration.accounts),
+            "keys": len(names),
+            "ambiguous_keys": sum(not name for name in names),
+        }
+
 
 class ConfigurationLoader:
     """Builds the AccountKeys of configurations, one slice in a turn of the event loop.
--- a/soak/caller_promises.py
+++ b/soak/caller_promises.py
@@ -12,7 +12,7 @@
 __all__ = ["LINKS_LOST", "check_callers"]
 
 # Response statuses that guarantee that a request has not run.
-NOT_RUN = frozenset({408, 421, 429, 503})
+NOT_RUN = frozenset({401, 408, 421, 429, 503})
 # Time after the store's acknowledgement within which VMs have to use a configuration.
 CONFIGURATION_BOUND_S = 2.0
 # Requests sent this soon after the first with a new version may be handled by the old.
@@ -184,6 +184,7 @@
             and call.ended_s is not None
             and call.ended_s <= lost.until_s
             and not call.fatal
+            and call.has_lasting_key
             and cluster.disturbances.is_undisturbed(
                 call.vm,
                 lost.since_s,
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -7,6 +7,7 @@
 import os
 import time
 
+from soak.accounts import accounts_of
 from soak.builds import PRESENT_BUILD
 from soak.disturbances import STORE, DisturbanceLog
 from soak.link import Link
@@ -180,11 +181,19 @@
         callers can find out which version is in force.
         """
         version = len(self.configurations) * 3 + 1
-        await self.store.put("op", "config", _configuration(version))
+        content = _configuration(version)
+        if self.has_accounts:
+            content["tenants"] = accounts_of(version)
+        await self.store.put("op", "config", content)
         now_s = asyncio.get_running_loop().time()
         self.configurations.append((version, now_s))
         return version
 
+    @property
+    def has_accounts(self):
+        """Whether requests need a key: earlier builds do not ask for it."""
+        return self.builds == (PRESENT_BUILD,)
+
     async def evacuate_data_centre(self, name):
         """Take a data centre out of service and return its Evacuation."""
         await self.store.put("op", f"evacuate/{name}", {})
--- a/soak/load.py
+++ b/soak/load.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from soak.accounts import LASTING_KEYS, choose_key
 from soak.cluster import HOST
 
 __all__ = ["FATAL_PREFIX", "Call", "LoadGenerator"]
@@ -23,6 +24,7 @@
 PROBE_INTERVAL_S = 0.1
 CONNECTION_REUSE_SHARE = 0.8
 CONNECTION_CLOSED = 0
+PROBES_KEY = next(iter(LASTING_KEYS))
 # Start of the paths of requests that end the targets that run them.
 FATAL_PREFIX = "/lookup/fatal-"
 
@@ -49,6 +51,7 @@
         not_connected: Whether the connection to the VM failed.
         silenced: Whether its connection was silenced, so that it never reached the VM
             or its response never came back.
+        key: Key of its account, or None if it has none.
     """
 
     request_id: str
@@ -62,6 +65,12 @@
     body: bytes = b""
     not_connected: bool = False
     silenced: bool = False
+    key: str | None = None
+
+    @property
+    def has_lasting_key(self):
+        """Whether no configuration takes its key away."""
+        return self.key is None or self.key in LASTING_KEYS
 
     @property
     def fatal(self):
@@ -86,6 +95,8 @@
         self.stopping = False
         self._cluster = cluster
         self._random = random.Random(seed)
+        # Of its own, so that earlier seeds choose what they chose before.
+        self._key_random = random.Random(f"{seed} keys")
         self._request_numbers = itertools.count(1)
         self._vms = {vm.ip: vm for vm in cluster.vms}
 
@@ -142,13 +153,16 @@
             path = self._random.choice(fatal_paths)
         if self._random.random() > CONNECTION_REUSE_SHARE:
             _abort_connection(connections, ip)
-        await self._send(self._vms[ip], path, not non_idempotent, connections)
+        versions = [version for version, _ in self._cluster.configurations]
+        key = choose_key(self._key_random, versions)
+        await self._send(self._vms[ip], path, not non_idempotent, connections, key)
 
-    async def _send(self, vm, path, idempotent, connections):
+    async def _send(self, vm, path, idempotent, connections, key=PROBES_KEY):
         request_id = f"r{next(self._request_numbers)}"
         call = Call(
             request_id, path, idempotent, vm.name, vm.lifetime, time.monotonic()
         )
+        call.key = key
         self.calls.append(call)
         client_address = None
         try:
@@ -190,6 +204,9 @@
         f"Sesamespring-Request-Id: {call.request_id}",
         f"Sesamespring-Deadline-Ms: {int(TIMEOUT_S * 1000)}",
         f"Content-Length: {len(body)}",
+        f"Sesamespring-Credential: {call.key}",
+        # A name that no caller may choose itself.
+        "Sesamespring-Tenant: forged",
     ]
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -5,6 +5,7 @@
 
 import collections
 
+from soak.account_promises import check_accounts
 from soak.breach import Breach
 from soak.caller_promises import LINKS_LOST, check_callers
 from soak.target_promises import check_targets
@@ -17,7 +18,9 @@
 
 def check_promises(cluster, load):
     """Check all promises on the records so far; return a list of Breaches."""
-    return check_callers(cluster, load.calls) + check_targets(cluster, load.calls)
+    breaches = check_callers(cluster, load.calls)
+    breaches += check_accounts(cluster, load.calls)
+    return breaches + check_targets(cluster, load.calls)
 
 
 def check_recovery(load, from_s, to_s):
@@ -33,6 +36,7 @@
         none was sent; otherwise an empty list.
     """
     sent = [c for c in load.calls if from_s <= c.sent_s < to_s and not c.fatal]
+    sent = [c for c in sent if c.has_lasting_key]
     served = sum(c.status == 200 for c in sent)
     if sent and served >= RECOVERED_SHARE * len(sent):
         return []
