--- a/sesamespring/gateway/daemon.py
+++ b/sesamespring/gateway/daemon.py
@@ -24,12 +24,15 @@
 )
 from sesamespring.gateway.members.datagrams import open_datagrams
 from sesamespring.gateway.members.peers import Peers
+from sesamespring.gateway.slots.rollouts import Rollouts
+from sesamespring.gateway.slots.service_rollout import RolloutContext
 from sesamespring.gateway.slots.services import Services
 from sesamespring.gateway.slots.slot_client import SlotClient
 from sesamespring.gateway.slots.slot_server import SlotServer
 from sesamespring.gateway.store.address_rows import AddressRows
 from sesamespring.gateway.store.cluster_state import ClusterState
 from sesamespring.gateway.store.quarantine_rows import QuarantineRows
+from sesamespring.gateway.store.rollout_store import RolloutStore
 from sesamespring.gateway.store.table_sync import FeedServer, PollTiming, TableSync
 from sesamespring.gateway.supervision import describe_error, run_supervised
 from sesamespring.gateway.targets.connection_pool import TargetConnectionPool
@@ -166,6 +169,19 @@
         )
         self._slot_server = SlotServer(self._services, self._peers)
         self._slot_server.register_handlers()
+        self._rollouts = Rollouts(
+            self._cluster_state,
+            RolloutContext(
+                settings.bounds,
+                self._services,
+                self._peers,
+                self._slot_client,
+                RolloutStore(self._store, self._log),
+                lambda: self._cluster_state.operator.era,
+                self._counters,
+                self._log,
+            ),
+        )
         probes_per_s = settings.bounds.probes_per_s
         self._prober = Prober(
             self._services,
@@ -238,6 +254,8 @@
         # A process that only serves the directory sends nothing to targets.
         if self._settings.callers_address is not None:
             tasks["paths"] = self._paths.run
+            if self._settings.bounds.exposure_share is not None:
+                tasks["rollouts"] = self._rollouts.run
         return tasks
 
     async def _run_address_rows(self):
--- a/sesamespring/gateway/datagrams.thrift
+++ b/sesamespring/gateway/datagrams.thrift
@@ -146,6 +146,28 @@
   1: required i64 request
 }
 
+/* Tells how far a roll-out has come; sent by the VM that decides for the service. */
+struct RolloutPhase {
+  1: required string service_name
+  /* Version and time that the order names. */
+  2: required string to_version
+  3: required double duration_s
+  /* Number of a routing.rollout.Phase. */
+  4: required i32 phase
+  /* Grows with each change of the phase. */
+  5: required i32 step
+}
+
+/* Answers RolloutPhase. */
+struct RolloutReport {
+  1: required string service_name
+  2: required string to_version
+  /* Newest step that the VM has heard of, by which it chooses targets now. */
+  3: required i32 step
+  /* Attempts of the VM in progress at targets of other versions. */
+  4: required i32 old_in_progress
+}
+
 union Datagram {
   1: Heartbeat heartbeat
   2: KnownVms known_vms
@@ -158,4 +180,6 @@
   9: CrashRecords crash_records
   10: StatesWanted states_wanted
   11: MemberStates member_states
+  20: RolloutPhase rollout_phase
+  21: RolloutReport rollout_report
 }
--- a/sesamespring/gateway/slots/slot_client.py
+++ b/sesamespring/gateway/slots/slot_client.py
@@ -73,6 +73,8 @@
         self._attempts = itertools.count(-1, -1)
         self._slot_requests = {}
         self._backoff_until_s = {}
+        # Dict of TargetEntry by numbers of request and attempt in progress.
+        self._in_progress = {}
         peers.set_handler(SlotQueued, self._handle_queued)
         peers.set_handler(SlotGranted, self._handle_granted)
         peers.set_handler(SlotRefused, self._handle_refused)
@@ -128,6 +130,7 @@
             slot_request: The SlotRequest.
             end: The AttemptEnded.
         """
+        self._in_progress.pop((slot_request.number, end.attempt), None)
         grant = slot_request.granted.pop(end.attempt, None)
         if grant is None:
             self._services.runner(slot_request.service).finish_attempt(end)
@@ -148,6 +151,16 @@
         self._services.runner(slot_request.service).withdraw(slot_request.request)
         slot_request.waiting = False
 
+    def old_in_progress(self, service, version):
+        """Return the number of this VM's attempts at targets of other versions.
+
+        Args:
+            service: Name of the service.
+            version: The version that is left out.
+        """
+        entries = self._in_progress.values()
+        return sum(e.service == service and e.version != version for e in entries)
+
     def _usable_decider(self, service):
         """Return the Member to request slots from, or None to schedule locally."""
         decider = self._services.decider(service)
@@ -171,6 +184,8 @@
                 slot_request.on_command(self._with_retry_after(command))
             elif self._availability.may_send(command.entry):
                 slot_request.accepted += 1
+                key = (slot_request.number, command.attempt)
+                self._in_progress[key] = command.entry
                 slot_request.on_command(command)
             else:
                 self._decline(slot_request, command)
@@ -266,6 +281,7 @@
         slot_request.accepted += 1
         attempt = next(self._attempts)
         slot_request.granted[attempt] = Grant(address, message.attempt)
+        self._in_progress[slot_request.number, attempt] = entry
         request = slot_request.request
         request.attempts_left -= 1
         request.extra = True
--- a/sesamespring/gateway/store/cluster_state.py
+++ b/sesamespring/gateway/store/cluster_state.py
@@ -9,6 +9,7 @@
 from returns.result import Failure, Success
 
 from sesamespring.gateway.store.replica import TableReplica
+from sesamespring.gateway.store.rollout_orders import RolloutOrders
 from sesamespring.platform.operator_table import (
     CONFIGURATION_KEY,
     OPERATOR_TABLE,
@@ -51,6 +52,7 @@
             TARGETS_TABLE, same_registration, is_earlier_registration
         )
         self._configuration = None
+        self._rollout_orders = RolloutOrders(log)
         self._closed = frozenset()
         # Dict of the end of its retention by data centre that is kept closed.
         self._kept_closed = {}
@@ -71,6 +73,11 @@
         """Names of the evacuated data centres, whose targets get no requests."""
         return self._closed
 
+    @property
+    def rollout_orders(self):
+        """Dict of RolloutOrder by service."""
+        return self._rollout_orders.orders
+
     @property
     def ready(self):
         """Whether a configuration and the targets' table have been received."""
@@ -184,6 +191,7 @@
             for key, stated_s in self._stated_leaving_s.items()
             if stated_s > oldest_s
         }
+        self._rollout_orders.drop_expired()
         if any(until_s <= now_s for until_s in self._kept_closed.values()):
             self._update_closed()
             self._on_change()
@@ -198,6 +206,7 @@
     def _apply_operator_rows(self, keys):
         rows = self._operator.rows
         self._update_closed()
+        self._rollout_orders.update(rows, keys, _retention_end_s(self._operator))
         if CONFIGURATION_KEY in keys and CONFIGURATION_KEY in rows:
             self._apply_configuration(rows[CONFIGURATION_KEY])
 
--- a/sesamespring/platform/rows.py
+++ b/sesamespring/platform/rows.py
@@ -87,18 +87,28 @@
 
 @attrs.frozen
 class RowCondition:
-    """Condition that a row has a version; ABSENT_VERSION if it must not exist."""
+    """Condition that a row has a version; ABSENT_VERSION if it must not exist.
+
+    Attributes:
+        table: Name of its table, or None for that of the transaction.
+    """
 
     key: str
     version: int
+    table: str | None = None
 
 
 @attrs.frozen
 class RowWrite:
-    """Write of bytes to a row; None removes the row."""
+    """Write of bytes to a row; None removes the row.
+
+    Attributes:
+        table: Name of its table, or None for that of the transaction.
+    """
 
     key: str
     content: bytes | None
+    table: str | None = None
 
 
 @attrs.frozen
@@ -176,23 +186,22 @@
     """Return the JSON value of a transaction.
 
     Args:
-        table: Name of the table.
+        table: Name of the table of items that name none.
         expected: The RowConditions that must hold.
         writes: The RowWrites.
     """
-    row = {"table": table, "part": PARTITION}
+
+    def place(item):
+        return {"table": item.table or table, "part": PARTITION, "key": item.key}
+
     return {
-        "expectedRevision": [
-            {**row, "key": item.key, "ver": item.version} for item in expected
-        ],
+        "expectedRevision": [{**place(item), "ver": item.version} for item in expected],
         "upserts": [
-            {**row, "key": write.key, "value": _base64(write.content)}
+            {**place(write), "value": _base64(write.content)}
             for write in writes
             if write.content is not None
         ],
-        "remove": [
-            {**row, "key": write.key} for write in writes if write.content is None
-        ],
+        "remove": [place(write) for write in writes if write.content is None],
     }
 
 
--- a/sesamespring/routing/messages.py
+++ b/sesamespring/routing/messages.py
@@ -76,6 +76,8 @@
         counted_elsewhere: Whether another VM may have counted it for its retry
             budget.
         account: Name of the client account that sends it, or an empty string.
+        excluded: Keys of the targets that it may not be sent to in the next plan, as
+            they have another version.
     """
 
     number: int
@@ -93,6 +95,7 @@
     data_centre: str = ""
     counted_elsewhere: bool = False
     account: str = ""
+    excluded: frozenset = frozenset()
 
     def may_be_sent(self, now_s):
         """Return whether attempts and time are left."""
--- a/sesamespring/routing/placement.py
+++ b/sesamespring/routing/placement.py
@@ -240,13 +240,14 @@
     """Return the index of the slot with the earliest penalized end, or None.
 
     Args:
-        request: The ScheduledRequest; slots of targets that it tried are left out.
+        request: The ScheduledRequest; slots of targets that it tried or that are
+            excluded for it are left out.
         slots: The Slots.
         ends_s: List of the penalized ends in these slots, which is changed.
     """
-    if request.tried:
+    if request.tried or request.excluded:
         for index, slot in enumerate(slots):
-            if slot.key in request.tried:
+            if slot.key in request.tried or slot.key in request.excluded:
                 ends_s[index] = math.inf
     best_end_s = min(ends_s, default=math.inf)
     return None if best_end_s == math.inf else ends_s.index(best_end_s)
--- a/sesamespring/routing/scheduler.py
+++ b/sesamespring/routing/scheduler.py
@@ -157,7 +157,9 @@
     def _serve(self, now_s, commands, plan_all):
         if not plan_all and not self._targets.has_free_slot(now_s):
             return
-        slots = self._open_slots(now_s)
+        slots = self._targets.rollout.choose(
+            self._waiting.values(), self._all_open_slots(now_s), now_s
+        )
         if not slots and not self._targets.any_in_service:
             self._refuse_all(now_s, commands)
             return
@@ -200,6 +202,7 @@
             now_s, expected_s, slot.unsaturated_slowdown, reported, slot.saturates
         )
         state.start_attempt(attempt, active)
+        self._targets.rollout.sent_to(request, state, now_s)
         if state.is_cold(now_s):
             state.cold_start_limiter.record(now_s)
         if state.pacer is not None:
@@ -279,6 +282,9 @@
         return slot
 
     def _open_slots(self, now_s):
+        return self._targets.rollout.usable(self._all_open_slots(now_s))
+
+    def _all_open_slots(self, now_s):
         return self._targets.open_slots(now_s, self._service_times.saturation_factor)
 
     def _cached_service_time_s(self):
@@ -301,15 +307,15 @@
 
     def _learn(self, request, state, active, ended, now_s):
         outcome = ended.outcome
+        saturation = self._service_times.saturation_factor if active.saturates else 1.0
+        self._targets.rollout.ended(request, state, active, ended, saturation)
         if outcome in _RESPONSES:
             state.heard_s = now_s
         if ended.blameless:
             return
         if outcome is Outcome.ANSWERED:
             unloaded_s = self._service_time_s(request)
-            unloaded_s *= (
-                self._service_times.saturation_factor if active.saturates else 1.0
-            )
+            unloaded_s *= saturation
             state.record_answer(active, ended.taken_s, unloaded_s, now_s)
             self._service_times.observe(
                 request.route,
--- a/sesamespring/routing/service_targets.py
+++ b/sesamespring/routing/service_targets.py
@@ -2,6 +2,7 @@
 
 from sesamespring.routing.placement import open_slots
 from sesamespring.routing.request_limits import StatedLimits, rate_of_this_vm
+from sesamespring.routing.rollout_steering import RolloutSteering
 from sesamespring.routing.target_state import TargetState
 
 __all__ = ["ServiceTargets"]
@@ -32,6 +33,7 @@
         self._states = {}
         # States of removed targets with attempts in progress.
         self._removed = {}
+        self._rollout = RolloutSteering()
         self._average_slowdown = 1.0
         self._shared = False
         # Time of the first plan in the present role, as decider or alone.
@@ -44,6 +46,16 @@
         """Dict of TargetState by key of the target."""
         return self._states
 
+    @property
+    def rollout(self):
+        """The RolloutSteering between versions."""
+        return self._rollout
+
+    @property
+    def removed(self):
+        """TargetStates of removed targets with attempts in progress."""
+        return self._removed.values()
+
     @property
     def sharing_vms(self):
         """Number of VMs that may spend the slack of extra attempts.
@@ -118,6 +130,7 @@
                 if state.active_attempts:
                     self._removed[key] = state
         self._states = kept
+        self._rollout.set_states(kept)
         self.apply_limits(now_s)
 
     def record_load(self, key, load, cold_left_s, now_s):
@@ -182,7 +195,7 @@
     def has_tried_all(self, request):
         """Return whether no target in service is left that a request may be sent to."""
         return all(
-            key in request.tried
+            key in request.tried or key in request.excluded
             for key, state in self._states.items()
             if state.in_service
         )
--- a/tests/gateway/cluster.py
+++ b/tests/gateway/cluster.py
@@ -94,9 +94,13 @@
         work_s: Seconds that a target takes for a request.
         slots: Slots of each target.
         seeds: Whether VMs know some others' addresses from their settings.
+        bounds: The Bounds of the VMs.
     """
 
-    def __init__(self, vms=1, targets=2, work_s=0.01, slots=2, seeds=True):
+    def __init__(
+        self, vms=1, targets=2, work_s=0.01, slots=2, seeds=True, bounds=BOUNDS
+    ):
+        self._bounds = bounds
         self.store = FakeStore()
         self.targets = [
             PlatformTarget(f"t{number}", work_s, slots) for number in range(targets)
@@ -182,7 +186,7 @@
             cores=1.0,
             link_mbps=1000.0,
             descriptors_max=1000,
-            bounds=BOUNDS,
+            bounds=self._bounds,
         )
 
     def start_vm(self, ip):
