Judge versions in virtual time: good and bad ones of each kind, with the users' bounds

Cause: the first figures left too few answers for a verdict, or too little exposure for the move. Change: small bursts, a trial that grows with suspicion, a move put off until its worst case fits the exposure, standard error in the old version's failure rate.

--- a/sesamespring/routing/rollout.py
+++ b/sesamespring/routing/rollout.py
@@ -10,6 +10,7 @@
 import attrs
 
 __all__ = [
+    "USED_SHARE",
     "Phase",
     "RolloutOrder",
     "RolloutRecord",
@@ -20,15 +21,16 @@
     "trial_limit",
 ]
 
-# Parts of the exposure that the new version gets before the move. The rest is for the
+# Part of the exposure that may be used at all, as not every VM may be heard of, and the
+# part of it that the new version gets before the move in any case. The rest is for the
 # move, during which a version may still turn bad.
-TRIAL_SHARE = 0.45
-TRIAL_SLACK_SHARE = 0.4
+USED_SHARE = 0.9
+TRIAL_SHARE_MIN = 0.5
 # The same for a version that is suspected, of which more has to be known.
 SUSPECT_SHARE = 0.7
 SUSPECTED = 0.4
 # A version under this much suspicion is not moved to.
-UNTRUSTED = 0.6
+UNTRUSTED = 0.5
 # Answers without which a version is not taken for good, and the part of the requests
 # that it may get which must be answered where they are fewer.
 ANSWERS_MIN = 30
@@ -43,7 +45,11 @@
 DRAIN_DURATIONS = 3.0
 DRAIN_MIN_S = 0.5
 LEAD_SHARE_MAX = 0.4
+# The move is put off to this part of its time at most, so that a version that turns bad
+# then stays within its exposure.
+LEAD_SHARE_MIN = 0.5
 REJECTED_VERSIONS_MAX = 8
+RATE_MIN = 0.001
 
 
 class Phase(enum.IntEnum):
@@ -155,6 +161,9 @@
         duration_s: Seconds that the order allows.
         service_time_s: Typical duration of the service's slowest requests, in seconds.
         trial_limit: Requests that the new version may have had in the trial by now.
+        per_s: Requests of the service in a second.
+        exposure_left: Requests that the new version may still get by the end of the
+            order's time if it is bad.
         answers: Judged answers of the new version.
         moved_answers: Those since the move.
         suspicion: See ``RolloutEvidence``; at 1 it is found bad.
@@ -169,6 +178,8 @@
     duration_s: float
     service_time_s: float
     trial_limit: int
+    per_s: float
+    exposure_left: float
     answers: int
     moved_answers: int
     suspicion: float
@@ -183,24 +194,30 @@
         """Seconds until the order's time is over; negative afterwards."""
         return self.duration_s - self.elapsed_s
 
+    @property
+    def is_time_to_move(self):
+        """Whether no more time is left than the move of all requests takes."""
+        lead_s = move_lead_s(self.duration_s, self.service_time_s)
+        safe_s = self.exposure_left / max(self.per_s, RATE_MIN)
+        return self.left_s <= max(LEAD_SHARE_MIN * lead_s, min(lead_s, safe_s))
+
     @property
     def is_untrusted(self):
         """Whether the new version is too suspect to move to, and there is another."""
         return self.suspicion >= UNTRUSTED and self.had_old
 
 
-def trial_limit(share, slack, requests, suspicion):
+def trial_limit(exposure, move_requests, suspicion):
     """Return how many requests the new version may have had before the move.
 
     Args:
-        share: Part of the service's requests that a bad version may get.
-        slack: Requests that it may get in addition.
-        requests: Requests of the service since the order.
+        exposure: Requests that a bad version may get by now.
+        move_requests: Requests of the service that are expected during the move.
         suspicion: See ``RolloutEvidence``.
     """
     if suspicion >= SUSPECTED:
-        return int(SUSPECT_SHARE * (share * requests + slack))
-    return int(TRIAL_SHARE * share * requests + TRIAL_SLACK_SHARE * slack)
+        return int(SUSPECT_SHARE * exposure)
+    return int(max(TRIAL_SHARE_MIN * exposure, USED_SHARE * exposure - move_requests))
 
 
 def move_lead_s(duration_s, service_time_s):
@@ -239,7 +256,7 @@
         return Phase.TRIAL, "no-new-target"
     if not view.had_old:
         return Phase.MOVING, "no-old-target"
-    if view.left_s > move_lead_s(view.duration_s, view.service_time_s):
+    if not view.is_time_to_move:
         return Phase.TRIAL, "time-left"
     # Once the time is over, nothing is left to wait for.
     needed = min(ANSWERS_MIN, ANSWERS_SHARE_MIN * view.trial_limit)
--- a/sesamespring/routing/rollout_decider.py
+++ b/sesamespring/routing/rollout_decider.py
@@ -10,10 +10,12 @@
 import attrs
 
 from sesamespring.routing.rollout import (
+    USED_SHARE,
     Phase,
     RolloutRecord,
     RolloutView,
     merge_records,
+    move_lead_s,
     next_phase,
     trial_limit,
 )
@@ -23,6 +25,8 @@
 
 # Time after which counts are written although nothing else has changed.
 COUNTS_INTERVAL_S = 1.0
+# Shortest time from which the rate of requests is taken.
+RATE_TIME_MIN_S = 1.0
 # Records whose write was not confirmed.
 UNSETTLED_MAX = 16
 
@@ -153,7 +157,7 @@
         if phase is Phase.ROLLED_BACK:
             # Holds at once, whatever the store does.
             self._steering.set_use(Use.OLD, record.rejected)
-        burst = self._next_burst() if phase is record.phase else 0
+        burst = self._next_burst(now_s) if phase is record.phase else 0
         due = now_s - self._written_s >= COUNTS_INTERVAL_S and not phase.is_final
         changed = self._requests != record.requests
         if phase is record.phase and not (burst or self._must_write or due and changed):
@@ -204,7 +208,9 @@
             elapsed_s=self.elapsed_s(now_s),
             duration_s=self._order.duration_s,
             service_time_s=evidence.longest_s,
-            trial_limit=self._trial_limit(),
+            trial_limit=self._trial_limit(now_s),
+            per_s=self._per_s(now_s),
+            exposure_left=self._exposure_left(now_s),
             answers=evidence.answers,
             moved_answers=evidence.answers - self._answers_before_move,
             suspicion=evidence.suspicion,
@@ -215,22 +221,36 @@
             is_confirmed=is_confirmed,
         )
 
-    def _trial_limit(self):
+    def _trial_limit(self, now_s):
+        evidence = self._steering.evidence
+        lead_s = move_lead_s(self._order.duration_s, evidence.longest_s)
+        move_requests = self._per_s(now_s) * lead_s
+        exposure = self._exposure(self._requests)
+        return trial_limit(exposure, move_requests, evidence.suspicion)
+
+    def _per_s(self, now_s):
+        """Return the average rate of the service's requests, per second."""
+        return self._requests / max(RATE_TIME_MIN_S, self.elapsed_s(now_s))
+
+    def _exposure(self, requests):
+        """Return how many of the service's requests a bad version may get."""
         bounds = self._bounds
-        return trial_limit(
-            bounds.exposure_share,
-            bounds.exposure_slack,
-            self._requests,
-            self._steering.evidence.suspicion,
-        )
+        return bounds.exposure_share * requests + bounds.exposure_slack
+
+    def _exposure_left(self, now_s):
+        left_s = max(0.0, self._order.duration_s - self.elapsed_s(now_s))
+        requests = self._requests + self._per_s(now_s) * left_s
+        used = max(self._record.reserved, self._steering.sent)
+        return USED_SHARE * self._exposure(requests) - used
 
-    def _next_burst(self):
+    def _next_burst(self, now_s):
         """Return how many more requests to reserve for the new version."""
         steering = self._steering
         if self._record.phase is not Phase.TRIAL or not steering.has_new:
             return 0
-        burst = steering.burst
-        left = self._trial_limit() - self._record.reserved
+        limit = self._trial_limit(now_s)
+        burst = steering.burst(limit)
+        left = limit - self._record.reserved
         if left < burst or steering.allowance > burst // 2:
             return 0
         return burst
--- a/sesamespring/routing/rollout_evidence.py
+++ b/sesamespring/routing/rollout_evidence.py
@@ -26,10 +26,11 @@
 # none of its version.
 ONE_TARGET_SHARE = 0.6
 
-# A failure rate above that of the others by this much is bad.
-FAILURE_RATE_EXCESS = 0.1
+# A failure rate above that of the others by about so much is bad.
+FAILURE_RATE_EXCESSES = (0.1, 0.35)
+RATE_FACTOR = 1.5
 FAILURE_RATE_MIN = 0.02
-FAILURE_RATE_MAX = 0.6
+FAILURE_RATE_MAX = 0.4
 # Durations of the others that are kept for each route, and how many are needed.
 DURATIONS_KEPT = 200
 DURATIONS_MIN = 20
@@ -66,6 +67,7 @@
     _SlowTest(0.75, 1.5, 0.25, 0.6),
     _SlowTest(0.95, 1.5, 0.05, 0.25),
     _SlowTest(0.95, 2.0, 0.02, 0.12),
+    _SlowTest(0.95, 2.0, 0.02, 0.4),
 )
 
 
@@ -172,7 +174,7 @@
         if not self._suspicions:
             return "none"
         (route, test), _ = max(self._suspicions.items(), key=lambda item: item[1].score)
-        name = "failures" if test is None else f"slow-{test.quantile:g}"
+        name = "slow" if isinstance(test, _SlowTest) else "failures"
         return name if route is ALL_ROUTES else f"{name}-on-{route}"
 
     @property
@@ -194,7 +196,7 @@
             suspicion: Its ``suspicion``.
         """
         self.answers += answers
-        restored = self._suspicions[ALL_ROUTES, None]
+        restored = self._suspicions[ALL_ROUTES, FAILURE_RATE_EXCESSES[0]]
         # The targets that caused it are not known.
         restored.add(None, suspicion * ALARM * ONE_TARGET_SHARE, False)
 
@@ -220,9 +222,11 @@
         self.failures += answer.failed
         for route in (ALL_ROUTES, answer.route):
             rate = self._failure_rate(route)
-            ratio = _log_ratio(answer.failed, rate, rate + FAILURE_RATE_EXCESS)
-            found = self._suspicions[route, None]
-            found.add(answer.target, ratio, several_targets)
+            for excess in FAILURE_RATE_EXCESSES:
+                bad_rate = RATE_FACTOR * rate + excess
+                ratio = _log_ratio(answer.failed, rate, bad_rate)
+                found = self._suspicions[route, excess]
+                found.add(answer.target, ratio, several_targets)
         if not answer.failed:
             self._observe_duration(answer, several_targets)
 
@@ -240,11 +244,17 @@
                 found.add(answer.target, ratio, several_targets)
 
     def _failure_rate(self, route):
-        """Return the failure rate that a good version may have."""
+        """Return the failure rate that a good version may have.
+
+        It is that of the others, with one standard error, as there may be few answers.
+        """
         outcomes = self._outcomes.get(route, ())
         if len(outcomes) < DURATIONS_MIN:
             outcomes = self._outcomes.get(ALL_ROUTES, ())
-        rate = (sum(outcomes) + 1) / (len(outcomes) + 2) if outcomes else 0.0
+        if not outcomes:
+            return FAILURE_RATE_MIN
+        rate = sum(outcomes) / len(outcomes)
+        rate += math.sqrt(rate * (1 - rate) / len(outcomes))
         return min(FAILURE_RATE_MAX, max(FAILURE_RATE_MIN, rate))
 
     def _series(self, series, route, kept):
--- a/sesamespring/routing/rollout_steering.py
+++ b/sesamespring/routing/rollout_steering.py
@@ -12,10 +12,13 @@
 
 __all__ = ["RolloutSteering", "Use"]
 
-# Targets of the new version that one burst fills.
+# Targets of the new version that a large burst fills; a small one fills one target.
 TARGETS_PER_BURST = 2
+LARGE_BURST = 12
 REQUESTS_PER_SLOT = 3
 BURST_MIN = 4
+# Part of all requests that the new version may get by now which one burst takes.
+BURST_SHARE = 1 / 3
 # A burst that finds no free slot for so long goes to other targets.
 IDLE_BURST_S = 2.0
 # Largest part of the new version's requests that one of several routes may take.
@@ -54,6 +57,7 @@
         self._rejected = ()
         self._states = {}
         self._bursts = 0
+        self._burst_targets = 1
         self._last_pick_s = 0.0
         # Whether waiting requests have exclusions of a roll-out that has ended.
         self._must_clear = False
@@ -69,16 +73,10 @@
         """The Use."""
         return self._use
 
-    @property
-    def burst(self):
-        """Requests that a burst takes to fill its targets."""
-        slots = sum(state.entry.slots for state in self._burst_states())
-        return max(BURST_MIN, REQUESTS_PER_SLOT * slots)
-
     @property
     def has_new(self):
         """Whether a target of the new version is in service."""
-        return any(s.in_service and self._is_new(s) for s in self._states.values())
+        return bool(self._new_states())
 
     @property
     def has_old(self):
@@ -118,6 +116,18 @@
         """Allow further requests to the new version, at other targets than before."""
         self.allowance += requests
         self._bursts += 1
+        is_large = self.allowance >= LARGE_BURST
+        self._burst_targets = TARGETS_PER_BURST if is_large else 1
+
+    def burst(self, limit):
+        """Return how many requests a burst takes to fill its targets.
+
+        Args:
+            limit: Requests that the new version may have had in all by now.
+        """
+        slots = max((s.entry.slots for s in self._new_states()), default=0)
+        full = REQUESTS_PER_SLOT * TARGETS_PER_BURST * slots
+        return max(BURST_MIN, min(full, int(BURST_SHARE * limit)))
 
     def old_in_progress(self, removed):
         """Return the number of attempts in progress at targets of other versions.
@@ -200,8 +210,7 @@
         if not self._is_new(state):
             self.evidence.observe_old(answer)
             return
-        serving = [s for s in self._states.values() if s.in_service]
-        several = sum(map(self._is_new, serving)) > 1
+        several = len(self._new_states()) > 1
         self.evidence.observe_new(answer, several)
 
     def _reset(self):
@@ -231,25 +240,23 @@
     def _filtered(slots, keep):
         return [slot for slot in slots if keep(slot.state)]
 
-    def _burst_states(self, now_s=None):
+    def _new_states(self):
+        """Return the TargetStates of the new version that are in service."""
+        states = self._states.values()
+        return [s for s in states if s.in_service and self._is_new(s)]
+
+    def _burst_states(self, now_s):
         """Return the TargetStates that a burst fills, without those in cold start."""
-        states = [
-            state
-            for state in self._states.values()
-            if state.in_service and self._is_new(state)
-        ]
-        if now_s is not None:
-            states = [s for s in states if not s.is_cold(now_s)]
-            if now_s - self._last_pick_s > IDLE_BURST_S:
-                self._last_pick_s = now_s
-                self._bursts += 1
-        if len(states) <= TARGETS_PER_BURST:
+        if now_s - self._last_pick_s > IDLE_BURST_S:
+            self._last_pick_s = now_s
+            self._bursts += 1
+        states = [s for s in self._new_states() if not s.is_cold(now_s)]
+        count = self._burst_targets
+        if len(states) <= count:
             return states
         states.sort(key=lambda state: state.entry.key)
-        first = self._bursts * TARGETS_PER_BURST
-        return [
-            states[(first + index) % len(states)] for index in range(TARGETS_PER_BURST)
-        ]
+        first = self._bursts * count
+        return [states[(first + index) % len(states)] for index in range(count)]
 
     def _may_pick(self, request):
         """Return whether a request may go to the new version in the trial.
--- a/tests/routing/rollout_simulation.py
+++ b/tests/routing/rollout_simulation.py
@@ -64,6 +64,9 @@
         duration_s: Time that the order allows.
         targets: Number of targets of each version.
         store_delay_s: Function of the time that returns how long a write takes.
+        old_behaviour: As ``behaviour``, for the other version.
+        start_s: Time of the order.
+        work: Factor on the duration of all requests.
     """
 
     def __init__(
@@ -76,11 +79,12 @@
         store_delay_s=lambda now_s: 0.01,
         old_behaviour=good,
         start_s=5.0,
+        work=1.0,
     ):
         self.rng = random.Random(seed)
         self.behaviours = {OLD: old_behaviour, NEW: behaviour}
         self.rate, self.duration_s, self.start_s = rate, duration_s, start_s
-        self.store_delay_s = store_delay_s
+        self.store_delay_s, self.work = store_delay_s, work
         self.entries = [
             attrs.evolve(
                 make_target(f"{version}-{n}", f"dc-{n % 3}", slots=3), version=version
@@ -154,7 +158,9 @@
         route = self.rng.choices(names, weights)[0]
         if self.start_s <= now_s <= self.start_s + self.duration_s:
             self.result.requests += 1
-        request = make_request(now_s, 0.7, 4.5, route=route, attempts_left=3)
+        request = make_request(
+            now_s, 0.7 * self.work, 4.5 * self.work, route=route, attempts_left=3
+        )
         self.execute(self.scheduler.submit(request, now_s), now_s)
 
     def execute(self, commands, now_s):
@@ -167,8 +173,10 @@
         running = self.running[entry.key] = self.running[entry.key] + 1
         behave = self.behaviours[entry.version]
         fails, factor = behave(now_s - self.start_s, route, running, self.rng)
-        taken_s = ROUTES[route][1] * self.speeds[entry.key] * factor
-        taken_s *= self.rng.lognormvariate(0.0, 0.35) * (1.2 if running == 3 else 1.0)
+        taken_s = ROUTES[route][1] * self.work * self.speeds[entry.key]
+        taken_s *= (
+            factor * self.rng.lognormvariate(0.0, 0.35) * (1.2 if running == 3 else 1.0)
+        )
         if entry.version == NEW:
             self.count(now_s)
         is_bad = entry.version == NEW and (fails or factor > 2.0)
--- a/tests/routing/support.py
+++ b/tests/routing/support.py
@@ -32,6 +32,7 @@
         slots=slots,
         leaving=changes.pop("leaving", False),
         cold_left_s=cold_left_s,
+        version=changes.pop("version", ""),
     )
 
 
