--- a/sesamespring/routing/messages.py
+++ b/sesamespring/routing/messages.py
@@ -79,6 +79,8 @@
             budget.
         account: Name of the client account that sends it, or an empty string.
         tokens: Tokens of the account's quota that it holds and has not spent.
+        excluded: Keys of the targets that it may not be sent to in the next plan, as
+            they have another version.
     """
 
     number: int
@@ -97,6 +99,7 @@
     counted_elsewhere: bool = False
     account: str = ""
     tokens: int = 0
+    excluded: frozenset = frozenset()
 
     def may_be_sent(self, now_s):
         """Return whether attempts and time are left."""
