--- a/tests/gateway/cluster.py
+++ b/tests/gateway/cluster.py
@@ -103,9 +103,9 @@
     """
 
     def __init__(
-        self, vms=1, targets=2, work_s=0.01, slots=2, seeds=True, bounds=BOUNDS
+        self, vms=1, targets=2, work_s=0.01, slots=2, seeds=True, bounds=None
     ):
-        self._bounds = bounds
+        self._bounds = BOUNDS if bounds is None else bounds
         self.store = FakeStore()
         self.targets = [
             PlatformTarget(f"t{number}", work_s, slots) for number in range(targets)
