Admit a parked request when its account's limit is lifted

The refusal of a request that was parked when the limit went read the limit's rate, so the answer's handler failed and the request waited for its deadline; the new test failed with that error first.

--- a/sesamespring/routing/account_admission.py
+++ b/sesamespring/routing/account_admission.py
@@ -170,8 +170,10 @@
         wanted = collections.defaultdict(list)
         for account in {**self._parked, **self._to_fill, **self._to_return}:
             address = self._lender_address(account, now_s)
-            if address is None or address == self._own_address:
-                self._settle_here(account, address is None, outputs, now_s)
+            has_limit = self._tokens.limit(account) is not None
+            if not has_limit or address in (None, self._own_address):
+                unknown = has_limit and address is None
+                self._settle_here(account, unknown, outputs, now_s)
             else:
                 wanted[address].append(account)
         for address, accounts in wanted.items():
@@ -278,11 +280,14 @@
             outputs.append(self._refusal(ticket, account, due_in_s, now_s))
 
     def _refusal(self, ticket, account, due_in_s, now_s):
+        limit = self._tokens.limit(account)
+        if limit is None:
+            # The limit was lifted while the request was parked.
+            return Decision(ticket, account, Verdict.ADMITTED)
         times = self._retry_times.get(account)
         if times is None:
             times = self._retry_times[account] = RetryTimes(self._terms.window_s)
-        rate_per_s = self._tokens.limit(account).rate_per_s
-        retry_after_s = times.next_s(rate_per_s, due_in_s, now_s)
+        retry_after_s = times.next_s(limit.rate_per_s, due_in_s, now_s)
         return Decision(ticket, account, Verdict.OVER_QUOTA, retry_after_s)
 
     def _return_surplus(self, account, now_s):
--- a/tests/routing/test_quotas.py
+++ b/tests/routing/test_quotas.py
@@ -23,7 +23,7 @@
 from sesamespring.routing.quotas import QuotaTerms, home_service, part_of_network
 from sesamespring.routing.records import Account
 from sesamespring.routing.token_borrower import ANSWER_VALID_S, AskSeries
-from sesamespring.routing.token_lender import START_S, Ask, TokenLender
+from sesamespring.routing.token_lender import START_S, Ask, Gift, TokenLender
 from tests.routing.quota_fleet import ROUND_TRIP_S, TERMS, Fleet, ideal
 
 WINDOW_S = TERMS.window_s
@@ -288,3 +288,20 @@
     fleet._poll(borrower)
     fleet.run(20.5)
     assert fleet.verdicts[Verdict.ADMITTED] == 200
+
+
+def test_parked_request_is_admitted_when_the_limit_is_lifted():
+    fleet = Fleet(2, [Account("a", None, 1.0, 0.0)], 1)
+    fleet.run(20.0)
+    borrower = next(n for n in fleet.names if n != fleet.orders[n]["s0"][0])
+    admission, now_s = fleet.vms[borrower], fleet.clock(borrower)
+    for ticket in "xyz":
+        admission.admit(ticket, "a", now_s)
+    (ask,) = admission.poll(now_s)
+    assert admission.withdraw("z", "a")
+    admission.set_configuration([Account("a", None, 0.0, 0.0)], ["s0"], now_s)
+    gifts = [Gift("a", 0, 1.0)]
+    answer = (ask.address, ask.epoch, ask.number, gifts, now_s)
+    decisions = [*admission.take_answer(*answer), *admission.poll(now_s)]
+    assert [d.verdict for d in decisions] == [Verdict.ADMITTED] * 2
+    assert not admission.needs_poll
