Let the directory refuse callers without memory; test the slot of a long response

The directory's connections share the memory for callers, so its log line on a refusal must be true.

--- a/sesamespring/gateway/http_handlers.py
+++ b/sesamespring/gateway/http_handlers.py
@@ -37,6 +37,9 @@
 
     async def handle(self, incoming):
         """Respond to one IncomingRequest."""
+        if not incoming.admitted:
+            incoming.send_whole(503, [("Retry-After", "1")], b"")
+            return
         request = parse_resolve_request(incoming.target)
         if request is None:
             incoming.send_whole(404, [], b"")
--- a/tests/gateway/test_slot_server.py
+++ b/tests/gateway/test_slot_server.py
@@ -5,8 +5,9 @@
 
 from sesamespring.gateway.generated.ttypes import SlotEnded, SlotGranted, SlotWanted
 from sesamespring.gateway.slots.runner import ServiceRunner
+from sesamespring.gateway.slots.slot_messages import encode_ended
 from sesamespring.gateway.slots.slot_server import SlotServer
-from sesamespring.routing.messages import Outcome
+from sesamespring.routing.messages import AttemptEnded, Outcome
 from tests.routing.support import make_scheduler, make_target
 
 CLIENT = ("ip-b", 1)
@@ -93,3 +94,19 @@
         assert len(peers.granted(OTHER)) == 1
 
     run_scenario(scenario)
+
+
+def test_response_that_has_begun_keeps_its_slot_until_it_ends():
+    async def scenario(server, peers, runner):
+        send_slot_wanted(peers, CLIENT)
+        send_slot_wanted(peers, OTHER)
+        (granted,) = peers.granted(CLIENT)
+        end = AttemptEnded(granted.attempt, Outcome.ANSWERED, 0.1, responding=True)
+        for _ in range(2):
+            peers.handlers[SlotEnded](encode_ended(1, granted.attempt, end), CLIENT)
+        assert peers.granted(OTHER) == []
+        end = AttemptEnded(granted.attempt, Outcome.CANCELLED, 0.1)
+        peers.handlers[SlotEnded](encode_ended(1, granted.attempt, end), CLIENT)
+        assert len(peers.granted(OTHER)) == 1
+
+    run_scenario(scenario)
--- a/tests/http/test_pipeline.py
+++ b/tests/http/test_pipeline.py
@@ -199,3 +199,28 @@
         assert await read_all(reader) == ["/a"]
 
     run(scenario)
+
+
+def test_address_with_most_connections_makes_room_for_another():
+    async def main():
+        served = Served()
+        connections = CallerConnections(served.handle, 3)
+        await connections.listen((HOST, 0))
+        port = connections._socket.getsockname()[1]
+        async with asyncio.timeout(READ_TIMEOUT_S):
+            crowd = []
+            for _ in range(3):
+                crowd.append(await asyncio.open_connection(HOST, port))
+                crowd[-1][1].write(head("/a")[:-2])
+            await asyncio.sleep(0.1)
+            other = (loopback_ip(0, 2), 0)
+            reader, writer = await asyncio.open_connection(HOST, port, local_addr=other)
+            writer.write(head("/b"))
+            await served.until_handled("/b")
+            served.finish("/b")
+            assert (await reader.readline()).startswith(b"HTTP/1.1 200")
+        for _, opened in (*crowd, (reader, writer)):
+            opened.transport.abort()
+        connections.close()
+
+    asyncio.run(main())
