--- a/sesamespring/gateway/callers/forwarding.py
+++ b/sesamespring/gateway/callers/forwarding.py
@@ -262,6 +262,7 @@
         if self._outgoing.account != self._account.name:
             # The key was moved to another account while the request waited.
             self._outgoing = attrs.evolve(self._outgoing, account=self._account.name)
+            self._report.account = self._account.name
         return self._account.permitted
 
     def _reject_unknown_key(self):
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -181,13 +181,16 @@
         callers can find out which version is in force.
         """
         version = len(self.configurations) * 3 + 1
+        await self._write_configuration(version)
+        now_s = asyncio.get_running_loop().time()
+        self.configurations.append((version, now_s))
+        return version
+
+    async def _write_configuration(self, version):
         content = _configuration(version)
         if self.has_accounts:
             content["tenants"] = accounts_of(version)
         await self.store.put("op", "config", content)
-        now_s = asyncio.get_running_loop().time()
-        self.configurations.append((version, now_s))
-        return version
 
     @property
     def has_accounts(self):
@@ -213,7 +216,7 @@
         """
         await self.store.restore(copy)
         version, _ = self.configurations[-1]
-        await self.store.put("op", "config", _configuration(version))
+        await self._write_configuration(version)
         closed = {e.data_centre for e in self.evacuations if e.until_s == float("inf")}
         for name in DATA_CENTRES:
             if name in closed:
