Check a configuration for the platform before it is sent

Cause: the operators' wish; a version with entries that never match, or limits that contradict each other, is accepted by the store and put in force by all VMs.

--- a/sesamespring/cli/main.py
+++ b/sesamespring/cli/main.py
@@ -7,6 +7,7 @@
 from sesamespring.cli.apply import apply
 from sesamespring.cli.audit import audit
 from sesamespring.cli.check import check_resources, check_settings
+from sesamespring.cli.check_configuration import check
 from sesamespring.cli.entry import entry
 from sesamespring.cli.gateway import gateway
 from sesamespring.cli.in_force import in_force
@@ -23,6 +24,7 @@
 COMMANDS = (
     entry,
     gateway,
+    check,
     check_settings,
     check_resources,
     apply,
--- a/tests/gateway/cluster.py
+++ b/tests/gateway/cluster.py
@@ -102,9 +102,7 @@
         bounds: The Bounds of the VMs.
     """
 
-    def __init__(
-        self, vms=1, targets=2, work_s=0.01, slots=2, seeds=True, bounds=None
-    ):
+    def __init__(self, vms=1, targets=2, work_s=0.01, slots=2, seeds=True, bounds=None):
         self._bounds = BOUNDS if bounds is None else bounds
         self.store = FakeStore()
         self.targets = [
