--- a/sesamespring/gateway/slots/quota_report.py
+++ b/sesamespring/gateway/slots/quota_report.py
@@ -68,4 +68,4 @@
 
     def _count(self, account, result):
         name = account if account in self._counted else OTHERS
-        self._counters.add("account_requests", account=name, result=result)
+        self._counters.add("account_tokens", account=name, result=result)
