--- a/sesamespring/gateway/callers/forwarding.py
+++ b/sesamespring/gateway/callers/forwarding.py
@@ -125,6 +125,7 @@
         self._service = self._context.routes.choose_service(route)
         self._report.route = route.name
         self._report.service = self._service
+        self._report.account = account.name
         arrived_s = incoming.arrived_s
         deadline_s = arrived_s + min(routed.timeout_s, route.timeout_s)
         limit = self._context.cluster_state.configuration.limits.body_bytes_max
@@ -262,6 +263,7 @@
         if self._outgoing.account != self._account.name:
             # The key was moved to another account while the request waited.
             self._outgoing = attrs.evolve(self._outgoing, account=self._account.name)
+            self._report.account = self._account.name
         return self._account.permitted
 
     def _reject_unknown_key(self):
--- a/sesamespring/gateway/slots/services.py
+++ b/sesamespring/gateway/slots/services.py
@@ -110,6 +110,7 @@
             return
         for name, declaration in configuration.services.items():
             self._update_service(name, declaration)
+            self._runners[name].scheduler.shares.set_accounts(configuration.accounts)
         if self._quotas is not None:
             self._quotas.update(self.lenders)
         keys = set()
