--- a/sesamespring/gateway/callers/request_report.py
+++ b/sesamespring/gateway/callers/request_report.py
@@ -9,8 +9,8 @@
 
 __all__ = ["RequestReport"]
 
-# Without a key in force, and beyond an account's quota.
-ROUTINE_REFUSALS = (401, 429)
+# Callers without a key, or beyond their quota, must not crowd the lines of others out.
+ROUTINE_REFUSALS = frozenset({401, 429})
 
 
 class RequestReport:
@@ -142,8 +142,6 @@
         configuration = context.cluster_state.configuration
         if self.account:
             self._count_for_account(status, configuration.accounts)
-        # Callers without a key, or beyond a quota, must not crowd the lines of others
-        # out; the first refusals for a quota have lines of their own.
         is_routine = 200 <= status < 300 or status in ROUTINE_REFUSALS
         write = context.log.routine if is_routine else context.log.event
         write(
