--- a/tests/gateway/test_accounts.py
+++ b/tests/gateway/test_accounts.py
@@ -106,14 +106,17 @@
         await wait_until(lambda: served(cluster, "/read/1"), 6.0)
         before = len(cluster.runs)
         upload = {"path": "/write/1", "method": "POST", "body": b"x" * 1_000_000}
-        forged = {"Sesamespring-Tenant": "bert"}
+        forged = {"Sesamespring-Tenant": "bert", "Relay-Account": "bert"}
+        public = {"path": "/open/1", "headers": forged}
+        assert (await cluster.call(cluster.ips[0], "p", **public)).status == 200
         for options in ({}, upload):
             name = f"r{len(options)}"
             options = {**options, **with_key(KEY, **forged)}
             response = await cluster.call(cluster.ips[0], name, **options)
             assert response.status == 200
-        assert len(cluster.runs) == before + 2
+        assert len(cluster.runs) == before + 3
         fields = account_fields(cluster)
+        assert fields["p"] == []
         assert fields["r0"] == fields["r3"] == as_account("anna")
 
     async def served(cluster, path):
