--- a/sesamespring/gateway/daemon.py
+++ b/sesamespring/gateway/daemon.py
@@ -24,8 +24,8 @@
 )
 from sesamespring.gateway.members.datagrams import open_datagrams
 from sesamespring.gateway.members.peers import Peers
+from sesamespring.gateway.slots.rollout_context import RolloutContext
 from sesamespring.gateway.slots.rollouts import Rollouts
-from sesamespring.gateway.slots.service_rollout import RolloutContext
 from sesamespring.gateway.slots.services import Services
 from sesamespring.gateway.slots.slot_client import SlotClient
 from sesamespring.gateway.slots.slot_server import SlotServer
--- a/sesamespring/gateway/slots/service_rollout.py
+++ b/sesamespring/gateway/slots/service_rollout.py
@@ -12,7 +12,7 @@
 from sesamespring.routing.rollout import Phase, RolloutRecord
 from sesamespring.routing.rollout_decider import RolloutDecider, use_of
 
-__all__ = ["RolloutContext", "ServiceRollout"]
+__all__ = ["ServiceRollout"]
 
 STEP_INTERVAL_S = 0.1
 STORE_RETRY_DELAY_S = 0.3
@@ -21,37 +21,18 @@
 # Intervals at which the deciding VM tells the others of the phase.
 TELL_INTERVALS_S = {Phase.TRIAL: 1.0, Phase.MOVING: 0.2}
 TELL_FINAL_INTERVAL_S = 5.0
+# A VM that hears less than this part of what the last writer of the record heard may be
+# cut off. It waits until no other VM has written for so long.
+HEARD_SHARE_MIN = 0.5
+QUIET_S = 2.5
+# Time in which VMs that are not heard learn from the store that all requests move.
+UNHEARD_LEARN_S = 1.5
 # A report on attempts in progress that is older says nothing.
 REPORT_LIFETIME_S = 1.0
 # A VM that has answered nothing for so long is of a build without roll-outs.
 UNANSWERED_MAX_S = 3.0
 
 
-@attrs.frozen
-class RolloutContext:
-    """What all roll-outs of a VM share.
-
-    Attributes:
-        bounds: The Bounds.
-        services: The Services.
-        peers: The Peers.
-        slot_client: The SlotClient.
-        store: The RolloutStore.
-        era: Function without arguments that returns the store's era.
-        counters: The Counters.
-        log: The EventLog.
-    """
-
-    bounds: object
-    services: object
-    peers: object
-    slot_client: object
-    store: object
-    era: object
-    counters: object
-    log: object
-
-
 @attrs.frozen
 class _Report:
     """What another VM last reported: its step, its old attempts, and when."""
@@ -82,10 +63,14 @@
         self._steering = targets.rollout
         self._steering.begin(order.to, targets.states)
         peers = context.peers
-        writer = f"{peers.own.name}/{peers.incarnation}/{self._seen_s:.3f}"
-        self._decider = RolloutDecider(order, context.bounds, self._steering, writer)
+        self._writer = f"{peers.own.name}/{peers.incarnation}/{self._seen_s:.3f}"
+        self._decider = RolloutDecider(
+            order, context.bounds, self._steering, self._writer
+        )
         self._version = ABSENT_VERSION
         self._era = None
+        # Version of the record at which this VM last stepped back.
+        self._stepped_back_at = None
         # The latest record that is known, also from other VMs.
         self._known = None
         self._reports = {}
@@ -115,7 +100,9 @@
         evidence = self._steering.evidence
         if self._decider.stop_if_bad() and not self._is_reported_bad:
             self._is_reported_bad = True
-            self._log("rollout-bad-version", cause=evidence.cause)
+            self._context.log.event(
+                "rollout-bad-version", cause=evidence.cause, **self._figures()
+            )
         self._tell()
 
     async def run(self):
@@ -173,7 +160,7 @@
         if before is None or before.step != record.step:
             self._step_s = self._loop.time()
             self._told_s = None
-            self._log("rollout-step")
+            self._context.log.event("rollout-step", **self._figures())
             self._context.counters.add(
                 "rollout_steps",
                 service=self._order.service,
@@ -197,6 +184,13 @@
 
     async def _read(self):
         stored, self._version = await self._context.store.read(self._order.service)
+        if self._must_step_back(stored):
+            self._stepped_back_at = self._version
+            if self._known is None or stored.step > self._known.step:
+                self._learn(stored)
+            self._follow()
+            await asyncio.sleep(QUIET_S)
+            return
         now_s = self._loop.time()
         started_s = self._started_s(stored)
         started_unix_s = time.time() - (now_s - started_s)
@@ -204,7 +198,18 @@
         if stored is not None and stored.order == self._order:
             self._learn(self._decider.record)
 
+    def _must_step_back(self, stored):
+        """Return whether the VM that wrote a record should go on, and not this one."""
+        if stored is None or stored.order != self._order or stored.phase.is_final:
+            return False
+        if stored.writer.startswith(self._writer):
+            return False
+        heard = len(self._context.peers.alive)
+        few = heard < HEARD_SHARE_MIN * stored.vms_heard
+        return few and self._version != self._stepped_back_at
+
     async def _write(self, record):
+        record = attrs.evolve(record, vms_heard=len(self._context.peers.alive))
         result = await self._context.store.write(record, self._version)
         if isinstance(result, Failure):
             await self._handle_conflict(*result.failure())
@@ -228,12 +233,15 @@
         """Take in the record that is in place of the one expected."""
         if self._decider.record is None:
             return
+        self._version = version
+        if self._must_step_back(stored):
+            self._decider.leave()
+            return
         if self._decider.refused(stored, self._loop.time()):
-            self._version = version
             self._learn(self._decider.record)
             return
         writer = None if stored is None else stored.writer
-        self._log("rollout-conflict", writer=writer)
+        self._context.log.event("rollout-conflict", writer=writer, **self._figures())
         self._decider.leave()
         if stored is not None:
             await asyncio.sleep(FOREIGN_ORDER_DELAY_S)
@@ -260,8 +268,12 @@
 
     def _is_confirmed(self):
         """Return whether all VMs say that they send nothing to old targets."""
-        members = self._context.peers.alive.values()
-        return all(self._has_confirmed(m) for m in members if m.callers_port)
+        peers = self._context.peers
+        serving = [m for m in peers.alive.values() if m.callers_port]
+        age_s = self._loop.time() - self._step_s
+        if peers.known_count > len(serving) + 1 and age_s < UNHEARD_LEARN_S:
+            return False
+        return all(map(self._has_confirmed, serving))
 
     def _has_confirmed(self, member):
         now_s = self._loop.time()
@@ -296,27 +308,25 @@
         )
         self._context.peers.broadcast(message)
 
-    def _log(self, event, **fields):
-        """Write a line with the figures that decide."""
+    def _figures(self):
+        """Return the fields of a log line that decide."""
         evidence, decider = self._steering.evidence, self._decider
         record = decider.record or self._known
         now_s = self._loop.time()
-        self._context.log.event(
-            event,
-            service=self._order.service,
-            to=self._order.to,
-            phase=record and record.phase.name.lower(),
-            step=record and record.step,
-            reason=decider.reason if decider.record else "told",
-            since_s=now_s - self._seen_s,
-            within_s=self._order.duration_s,
-            requests=record and record.requests,
-            reserved=record and record.reserved,
-            sent=self._steering.sent,
-            answers=evidence.answers,
-            failures=evidence.failures,
-            old_failure_rate=evidence.old_failure_rate,
-            suspicion=evidence.suspicion,
-            old_in_progress=self._old_in_progress(),
-            **fields,
-        )
+        return {
+            "service": self._order.service,
+            "to": self._order.to,
+            "phase": record and record.phase.name.lower(),
+            "step": record and record.step,
+            "reason": decider.reason if decider.record else "told",
+            "since_s": now_s - self._seen_s,
+            "within_s": self._order.duration_s,
+            "requests": record and record.requests,
+            "reserved": record and record.reserved,
+            "sent": self._steering.sent,
+            "answers": evidence.answers,
+            "failures": evidence.failures,
+            "old_failure_rate": evidence.old_failure_rate,
+            "suspicion": evidence.suspicion,
+            "old_in_progress": self._old_in_progress(),
+        }
--- a/sesamespring/platform/rollout_rows.py
+++ b/sesamespring/platform/rollout_rows.py
@@ -73,6 +73,7 @@
         "suspicion": record.suspicion,
         "rejected": list(record.rejected),
         "writer": record.writer,
+        "vms_heard": record.vms_heard,
     }
     return json_body(row)
 
@@ -102,6 +103,7 @@
         suspicion=number(row["suspicion"], maximum=1.0),
         rejected=tuple(map(text, row["rejected"])),
         writer=text(row["writer"]),
+        vms_heard=integer(row["vms_heard"], maximum=COUNT_MAX),
     )
 
 
--- a/sesamespring/routing/rollout.py
+++ b/sesamespring/routing/rollout.py
@@ -100,6 +100,7 @@
         suspicion: See ``RolloutEvidence``.
         rejected: Tuple of other versions that are not trusted.
         writer: Who wrote it: a text that is new in each write.
+        vms_heard: Number of other VMs that the writer heard.
     """
 
     order: RolloutOrder
@@ -112,6 +113,7 @@
     suspicion: float = 0.0
     rejected: tuple = ()
     writer: str = ""
+    vms_heard: int = 0
 
     def in_phase(self, phase):
         """Return the record with a Phase, in the next step if it is another one."""
--- a/tests/routing/test_rollout.py
+++ b/tests/routing/test_rollout.py
@@ -26,6 +26,7 @@
 )
 
 SEEDS = int(os.environ.get("ROLLOUT_SEEDS", "6"))
+GOOD_SEEDS = max(20, SEEDS)
 DURATION_S = 25.0
 LATER_S = 10.0
 WRONG_SHARE_MAX = 0.05
@@ -79,18 +80,17 @@
 }
 
 
-def play(behaviour, **options):
+def play(behaviour, seeds=SEEDS, **options):
     options = {"duration_s": DURATION_S, **options}
-    return [Simulation(behaviour, seed, **options).run() for seed in range(SEEDS)]
+    return [Simulation(behaviour, seed, **options).run() for seed in range(seeds)]
 
 
 @pytest.mark.parametrize("kind", BAD)
-def test_bad_version_is_rolled_back_within_its_exposure(kind, record_property):
+def test_bad_version_is_rolled_back_within_its_exposure(kind):
     results = play(BAD[kind])
     wrong = sum(result.phase is not Phase.ROLLED_BACK for result in results)
     exposures = [r.exposed / allowed(r) for r in results]
-    record_property("wrong_verdicts", wrong)
-    record_property("exposure_max", max(exposures))
+    print(f"{kind}: {wrong} of {SEEDS} wrong, exposure up to {max(exposures):.2f}")
     assert max(exposures) <= 1.0
     assert max(result.after_bad_s for result in results) <= TERMS.rollback_s
     assert wrong <= WRONG_SHARE_MAX * SEEDS
@@ -102,9 +102,11 @@
 
 @pytest.mark.parametrize("old_failures", [0.0, 0.1])
 def test_good_version_is_complete_in_time_with_no_old_attempt(old_failures):
-    results = play(fails(old_failures), old_behaviour=fails(old_failures))
+    behaviour = fails(old_failures)
+    results = play(behaviour, GOOD_SEEDS, old_behaviour=behaviour)
     wrong = sum(result.phase is not Phase.COMPLETE for result in results)
-    assert wrong <= WRONG_SHARE_MAX * SEEDS
+    print(f"good with {old_failures} failures: {wrong} of {GOOD_SEEDS} wrong")
+    assert wrong <= WRONG_SHARE_MAX * GOOD_SEEDS
     for result in results:
         assert result.phase is not Phase.COMPLETE or result.phase_s <= DURATION_S
         assert result.old_at_complete == 0
