Keep extra attempts for the more urgent requests that want them

Cause: while all targets of a service reject a part of their requests, the retry budget gave its extra attempts as they came, so the most frequent kind got most and the most urgent was refused like the others or more often. Ruled out: the queue, which orders a rejected request by its priority as any other. Change: what more urgent requests have wanted in the last second is kept for them, up to half of what can be saved up; requests of one priority are served as before.

--- a/sesamespring/routing/retry_budget.py
+++ b/sesamespring/routing/retry_budget.py
@@ -2,6 +2,8 @@
 
 import collections
 
+from sesamespring.routing.wanted_attempts import WantedAttempts
+
 __all__ = ["RetryBudget"]
 
 # Below 1, because a request is counted at its first decision and reaches a target only
@@ -14,6 +16,9 @@
 SAVED_MIN = 1.0
 # VMs that have not discovered each other yet divide the slack by too small a number.
 SLACK_USED = 0.5
+# Most that is kept for more urgent requests, as a part of what can be saved up.
+KEPT_PART = 0.5
+MOST_URGENT = 0
 
 
 class RetryBudget:
@@ -23,7 +28,7 @@
     within that ratio. It spends it about as evenly as requests come, so that two VMs
     that count the same service one after the other, or two processes of one VM, keep to
     the ratio too. The slack is divided evenly among all VMs that are known, heard or
-    not.
+    not. What more urgent requests have wanted lately is kept for them.
 
     Args:
         ratio: Extra attempts allowed for each request.
@@ -46,45 +51,57 @@
         # Extra attempts that requests have earned less those made; below 0 where these
         # were taken from the slack.
         self._balance = 0.0
+        self._wanted = WantedAttempts()
 
     def record_request(self, now_s):
         """Count a new request, which raises the budget."""
         self._requests.append(now_s)
         self._drop_expired(now_s)
-        saved_max = max(SAVED_MIN, RATIO_SAVED * self._ratio * len(self._requests))
         earned = self._balance + RATIO_USED * self._ratio
-        self._balance = max(self._balance, min(earned, saved_max))
+        self._balance = max(self._balance, min(earned, self._saved_max))
+
+    def record_wanted(self, priority, now_s):
+        """Count that a request with a priority wants an extra attempt."""
+        self._wanted.record(priority, now_s)
 
-    def allows(self, now_s, vms):
+    def allows(self, now_s, vms, priority=MOST_URGENT):
         """Return whether the budget has room for one more extra attempt.
 
         Args:
             now_s: Current time.
             vms: Number of VMs that share the slack.
+            priority: Priority of the request that wants it.
         """
         self._drop_expired(now_s)
         earned = RATIO_USED * self._ratio * len(self._requests)
         share = SLACK_USED * self._slack / max(1, vms)
-        if self._balance + share < 1:
+        kept_max = KEPT_PART * (self._saved_max + share)
+        needed = 1 + min(kept_max, self._wanted.more_urgent(priority, now_s))
+        if self._balance + share < needed:
             return False
-        return len(self._extras) + 1 <= earned + share
+        return len(self._extras) + needed <= earned + share
 
-    def spend(self, now_s, vms):
+    def spend(self, now_s, vms, priority=MOST_URGENT):
         """Take one extra attempt from the budget.
 
         Args:
             now_s: Current time.
             vms: Number of VMs that share the slack.
+            priority: Priority of the request that wants it.
 
         Returns:
             Whether the attempt is allowed; if not, the budget is unchanged.
         """
-        if not self.allows(now_s, vms):
+        if not self.allows(now_s, vms, priority):
             return False
         self._extras.append(now_s)
         self._balance -= 1
         return True
 
+    @property
+    def _saved_max(self):
+        return max(SAVED_MIN, RATIO_SAVED * self._ratio * len(self._requests))
+
     def _drop_expired(self, now_s):
         oldest_s = now_s - self._window_s
         while self._requests and self._requests[0] <= oldest_s:
--- a/sesamespring/routing/scheduler.py
+++ b/sesamespring/routing/scheduler.py
@@ -96,8 +96,10 @@
             self._requests[request.number] = request
             if not request.counted_elsewhere:
                 self._budget.record_request(now_s)
-        if request.extra and not self._budget.allows(now_s, self._targets.sharing_vms):
-            return [refusals.no_attempt_left(request)]
+        if request.extra:
+            self._budget.record_wanted(request.priority, now_s)
+            if not self._may_spend(request, now_s):
+                return [refusals.no_attempt_left(request)]
         self._waiting[request.number] = request
         self._spare_slots.request_arrived(request, now_s)
         return self._serve_waiting(now_s, True)
@@ -156,7 +158,15 @@
         """Return whether a request may be retried at another target."""
         if not request.may_be_sent(now_s):
             return False
-        return self._budget.allows(now_s, self._targets.sharing_vms)
+        return self._may_spend(request, now_s)
+
+    def _may_spend(self, request, now_s):
+        vms = self._targets.sharing_vms
+        return self._budget.allows(now_s, vms, request.priority)
+
+    def _spend(self, request, now_s):
+        vms = self._targets.sharing_vms
+        return self._budget.spend(now_s, vms, request.priority)
 
     def _is_full_plan_due(self, now_s):
         """Return whether to plan the whole queue now, and not just its head."""
@@ -197,7 +207,7 @@
 
     def _send(self, assignment, now_s, commands):
         request, slot = assignment.request, assignment.slot
-        if request.extra and not self._budget.spend(now_s, self._targets.sharing_vms):
+        if request.extra and not self._spend(request, now_s):
             self._stop_waiting(request)
             commands.append(refusals.no_attempt_left(request))
             return
@@ -280,7 +290,7 @@
             needed_s = slot.end_s(self._service_time_s(request), now_s) - now_s
             if not is_hedge_due(elapsed_s, active.expected_s, needed_s, request, now_s):
                 continue
-            if not self._budget.spend(now_s, self._targets.sharing_vms):
+            if not self._spend(request, now_s):
                 return
             commands.append(self._dispatch(request, slot, now_s, True))
             free.remove(slot)
