--- a/sesamespring/gateway/daemon.py
+++ b/sesamespring/gateway/daemon.py
@@ -26,6 +26,7 @@
 from sesamespring.gateway.members.datagrams import open_datagrams
 from sesamespring.gateway.members.peer_traffic import PeerTraffic
 from sesamespring.gateway.members.peers import Peers
+from sesamespring.gateway.slots.departure_reports import report_departures
 from sesamespring.gateway.slots.quota_gate import make_quota_gate
 from sesamespring.gateway.slots.rollout_context import RolloutContext
 from sesamespring.gateway.slots.rollouts import Rollouts
@@ -406,6 +407,12 @@
             self._quarantine.drop_expired()
             if self._quotas is not None:
                 self._quotas.tick()
+            report_departures(
+                self._services,
+                self._counters,
+                self._log,
+                asyncio.get_running_loop().time(),
+            )
             self._counters.set("vms_heard", len(self._peers.alive))
             self._counters.set("requests_in_progress", self._callers.in_progress)
             held_bytes = self._client_limits.memory.used_bytes
--- a/sesamespring/routing/queueing.py
+++ b/sesamespring/routing/queueing.py
@@ -9,11 +9,12 @@
 accounts compete: then they take turns within each priority, see ``fair_shares``.
 """
 
+import collections
 import heapq
 
 import attrs
 
-from sesamespring.routing.placement import Assignment, assign
+from sesamespring.routing.assignment import Assignment, assign
 
 __all__ = ["Plan", "make_plan"]
 
@@ -42,7 +43,14 @@
 
 
 def make_plan(
-    requests, slots, service_time_s, now_s, is_known, plan_all=True, shares=None
+    requests,
+    slots,
+    service_time_s,
+    now_s,
+    is_known,
+    plan_all=True,
+    spare=None,
+    shares=None,
 ):
     """Return the Plan for waiting requests.
 
@@ -55,21 +63,24 @@
             was measured; requests without a measurement are never unreachable.
         plan_all: Whether to plan all requests; otherwise only the first ones, which may
             be sent now, and none is found unreachable.
+        spare: The SpareSlots, or None, see ``assignment.assign``.
         shares: The FairShares of the accounts, or None without accounts.
     """
-    compared = max(COMPARED_MIN, COMPARISONS_MAX // max(1, len(slots)))
+    compared = _compared_of_each(slots)
     if not plan_all:
-        return _plan_next(requests, slots, service_time_s, now_s, compared, shares)
+        return _plan_next(
+            requests, slots, service_time_s, now_s, compared, spare, shares
+        )
     ordered = sorted(requests, key=_urgency)
     feasible = [r for r in ordered if now_s + service_time_s(r) <= r.due_s]
     # Requests that miss their goal even in this plan must not delay the others.
-    first = _estimate_ends(feasible, slots, service_time_s, now_s, compared)
+    first = _estimate_ends(feasible, slots, service_time_s, now_s, compared, spare)
     in_time = _in_time(first)
     if len(in_time) == len(ordered):
         return Plan(tuple(first), ())
     if shares is not None:
         feasible = shares.order(feasible, service_time_s)
-        first = _estimate_ends(feasible, slots, service_time_s, now_s, compared)
+        first = _estimate_ends(feasible, slots, service_time_s, now_s, compared, spare)
         in_time = _in_time(first)
     chosen = {request.number for request in in_time}
     late = [r for r in ordered if r.number not in chosen]
@@ -77,7 +88,7 @@
     if shares is not None:
         late = shares.order(late, service_time_s, ahead=in_time)
     assignments = _estimate_ends(
-        [*in_time, *late], slots, service_time_s, now_s, compared
+        [*in_time, *late], slots, service_time_s, now_s, compared, spare
     )
     unreachable = [
         a
@@ -87,26 +98,33 @@
     return Plan(tuple(assignments), tuple(unreachable), True)
 
 
-def _plan_next(requests, slots, service_time_s, now_s, compared, shares):
+def _compared_of_each(slots):
+    """Return how many requests of each data centre are compared with slots."""
+    compared = COMPARISONS_MAX // max(1, len(slots))
+    data_centres = len({slot.data_centre for slot in slots})
+    return max(COMPARED_MIN, compared // max(1, data_centres))
+
+
+def _plan_next(requests, slots, service_time_s, now_s, compared, spare, shares):
     """Return the Plan for the most urgent requests, which may be sent now."""
     feasible = [r for r in requests if now_s + service_time_s(r) <= r.due_s]
     if shares is not None and shares.short:
-        feasible.sort(key=_urgency)
-        first = shares.order(feasible, service_time_s, limit=compared)
+        first = _in_turn(feasible, compared, _urgency, shares, service_time_s)
     else:
-        first = heapq.nsmallest(compared, feasible, _urgency)
-    assignments = assign(first, slots, service_time_s, now_s)
+        first = _most_urgent(feasible, compared, _urgency)
+    assignments = assign(first, slots, service_time_s, now_s, spare)
     in_time = _in_time(assignments)
-    if len(in_time) < compared and len(in_time) < len(requests):
+    if len(in_time) < len(requests):
         chosen = {request.number for request in in_time}
         others = [r for r in requests if r.number not in chosen]
-        left = compared - len(in_time)
+        key = _late_urgency
         if shares is not None:
-            others.sort(key=_late_urgency)
-            late = shares.order(others, service_time_s, in_time, left)
+            late = _in_turn(others, compared, key, shares, service_time_s, in_time)
         else:
-            late = heapq.nsmallest(left, others, _late_urgency)
-        assignments = assign([*in_time, *late], slots, service_time_s, now_s)
+            late = _most_urgent(others, compared, key, in_time)
+        if late:
+            requests = [*in_time, *late]
+            assignments = assign(requests, slots, service_time_s, now_s, spare)
     return Plan(tuple(assignments), ())
 
 
@@ -115,6 +133,43 @@
     return [a.request for a in assignments if a.end_s <= a.request.due_s]
 
 
+def _in_turn(requests, count, key, shares, service_time_s, chosen=()):
+    """Return the requests of each data centre that go first as accounts take turns.
+
+    Args:
+        requests: The ScheduledRequests.
+        count: Maximum number of requests of a data centre.
+        key: Function by whose value requests of one account are ordered.
+        shares: The FairShares.
+        service_time_s: Function that returns the service time of a ScheduledRequest.
+        chosen: Requests that are served before, and count as well.
+    """
+    ordered = shares.order(sorted(requests, key=key), service_time_s, chosen)
+    return _first_of_each_data_centre(ordered, count, chosen)[0]
+
+
+def _most_urgent(requests, count, key, chosen=()):
+    """Return the most urgent requests of each data centre, in order.
+
+    Those of one data centre must not hide those of another, which has its own slots.
+
+    Args:
+        requests: The ScheduledRequests.
+        count: Maximum number of requests of a data centre.
+        key: Function by whose value requests are ordered.
+        chosen: Requests that count as well, but are not returned.
+    """
+    taken = collections.Counter(request.data_centre for request in chosen)
+    by_data_centre = {}
+    for request in requests:
+        by_data_centre.setdefault(request.data_centre, []).append(request)
+    found = []
+    for data_centre, of_data_centre in by_data_centre.items():
+        left = count - taken[data_centre]
+        found += heapq.nsmallest(left, of_data_centre, key)
+    return sorted(found, key=key)
+
+
 def _urgency(request):
     return (request.priority, request.due_s)
 
@@ -123,15 +178,16 @@
     return (request.priority, request.deadline_s)
 
 
-def _estimate_ends(requests, slots, service_time_s, now_s, compared):
+def _estimate_ends(requests, slots, service_time_s, now_s, compared, spare):
     """Assign the first requests to slots and estimate the end of the others."""
-    assignments = assign(requests[:compared], slots, service_time_s, now_s)
-    if len(requests) <= compared:
+    first, others = _first_of_each_data_centre(requests, compared)
+    assignments = assign(first, slots, service_time_s, now_s, spare)
+    if not others:
         return assignments
     # Requests that all slots together complete in one service time.
     rate = sum(1 / slot.expected_slowdown for slot in slots)
-    ahead = float(compared)
-    for request in requests[compared:]:
+    ahead = float(len(first))
+    for request in others:
         ahead += 1
         seconds = service_time_s(request)
         end_s = now_s + seconds * (1 + ahead / rate) if rate else float("inf")
@@ -139,6 +195,25 @@
     return assignments
 
 
+def _first_of_each_data_centre(requests, count, chosen=()):
+    """Return the lists of the first requests of each data centre, and of the others.
+
+    Args:
+        requests: The ScheduledRequests.
+        count: Maximum number of requests of a data centre.
+        chosen: Requests that count as well, but are not returned.
+    """
+    if len(requests) + len(chosen) <= count:
+        return requests, []
+    taken = collections.Counter(request.data_centre for request in chosen)
+    first, others = [], []
+    for request in requests:
+        taken[request.data_centre] += 1
+        is_first = taken[request.data_centre] <= count
+        (first if is_first else others).append(request)
+    return first, others
+
+
 def _is_unreachable(assignment, chosen, now_s):
     request = assignment.request
     if assignment.end_s == float("inf"):
--- a/sesamespring/routing/retry_budget.py
+++ b/sesamespring/routing/retry_budget.py
@@ -6,6 +6,8 @@
 
 import collections
 
+from sesamespring.routing.wanted_attempts import WantedAttempts
+
 __all__ = ["RetryBudget"]
 
 # Below 1, because a request is counted at its first decision and reaches a target only
@@ -18,11 +20,11 @@
 SAVED_MIN = 1.0
 # VMs that have not discovered each other yet divide the slack by too small a number.
 SLACK_USED = 0.5
+# Most that is kept for more urgent requests, as a part of what can be saved up.
+KEPT_PART = 0.5
+# What can be saved up beside it at least, as a service with few requests saves little.
+UNKEPT_MIN = 2.0
 MOST_URGENT = 0
-# Part of what may be saved up that less urgent requests leave to more urgent ones.
-RESERVED = 0.5
-# Extra attempts that can be saved up beyond the reserve at least.
-UNRESERVED_MIN = 2.0
 
 
 class RetryBudget:
@@ -32,8 +34,7 @@
     within that ratio. It spends it about as evenly as requests come, so that two VMs
     that count the same service one after the other, or two processes of one VM, keep to
     the ratio too. The slack is divided evenly among all VMs that are known, heard or
-    not. Requests leave a reserve to more urgent ones, if the service has had any within
-    the window.
+    not. What more urgent requests have wanted lately is kept for them.
 
     Args:
         ratio: Extra attempts allowed for each request.
@@ -56,26 +57,23 @@
         # Extra attempts that requests have earned less those made; below 0 where these
         # were taken from the slack.
         self._balance = 0.0
-        # Time of the last request of each priority.
-        self._priorities = {}
+        self._wanted = WantedAttempts()
 
     @property
     def window_s(self):
         """Length of the sliding window, in seconds."""
         return self._window_s
 
-    def record_request(self, now_s, priority=MOST_URGENT):
-        """Count a new request, which raises the budget.
-
-        Args:
-            now_s: Current time.
-            priority: Its priority; 0 is the most urgent.
-        """
+    def record_request(self, now_s):
+        """Count a new request, which raises the budget."""
         self._requests.append(now_s)
-        self._priorities[priority] = now_s
         self._drop_expired(now_s)
         earned = self._balance + RATIO_USED * self._ratio
-        self._balance = max(self._balance, min(earned, self._saved_max()))
+        self._balance = max(self._balance, min(earned, self._saved_max))
+
+    def record_wanted(self, priority, now_s):
+        """Count that a request with a priority wants an extra attempt."""
+        self._wanted.record(priority, now_s)
 
     def allows(self, now_s, vms, priority=MOST_URGENT):
         """Return whether the budget has room for one more extra attempt.
@@ -83,15 +81,17 @@
         Args:
             now_s: Current time.
             vms: Number of VMs that share the slack.
-            priority: Priority of the request; 0 is the most urgent.
+            priority: Priority of the request that wants it.
         """
         self._drop_expired(now_s)
         earned = RATIO_USED * self._ratio * len(self._requests)
         share = SLACK_USED * self._slack / max(1, vms)
-        reserve = self._reserve(share, priority, now_s)
-        if self._balance + share - reserve < 1:
+        most = self._saved_max + share
+        kept_max = max(0.0, min(KEPT_PART * most, most - UNKEPT_MIN))
+        needed = 1 + min(kept_max, self._wanted.more_urgent(priority, now_s))
+        if self._balance + share < needed:
             return False
-        return len(self._extras) + 1 <= earned + share
+        return len(self._extras) + needed <= earned + share
 
     def spend(self, now_s, vms, priority=MOST_URGENT):
         """Take one extra attempt from the budget.
@@ -99,7 +99,7 @@
         Args:
             now_s: Current time.
             vms: Number of VMs that share the slack.
-            priority: Priority of the request; 0 is the most urgent.
+            priority: Priority of the request that wants it.
 
         Returns:
             Whether the attempt is allowed; if not, the budget is unchanged.
@@ -110,27 +110,10 @@
         self._balance -= 1
         return True
 
+    @property
     def _saved_max(self):
-        """Return how many extra attempts requests may save up for later."""
         return max(SAVED_MIN, RATIO_SAVED * self._ratio * len(self._requests))
 
-    def _reserve(self, share, priority, now_s):
-        """Return how many extra attempts are left to more urgent requests.
-
-        Args:
-            share: This VM's share of the slack.
-            priority: Priority of the request that wants an extra attempt.
-            now_s: Current time.
-        """
-        oldest_s = now_s - self._window_s
-        if not any(
-            other < priority and seen_s > oldest_s
-            for other, seen_s in self._priorities.items()
-        ):
-            return 0.0
-        most = self._saved_max() + share
-        return max(0.0, min(RESERVED * most, most - UNRESERVED_MIN))
-
     def _drop_expired(self, now_s):
         oldest_s = now_s - self._window_s
         while self._requests and self._requests[0] <= oldest_s:
