--- a/sesamespring/gateway/store/table_sync.py
+++ b/sesamespring/gateway/store/table_sync.py
@@ -17,6 +17,7 @@
 from sesamespring.platform.rows import UNKNOWN_ERA, encode_page, encode_rows
 from sesamespring.platform.store import StoreClient
 from sesamespring.routing.table_sources import vms_to_follow
+from sesamespring.routing.vm_selection import READERS
 
 __all__ = ["TableSync", "FeedServer"]
 
@@ -49,6 +50,9 @@
 RETRY_DELAY_S = 0.15
 STARTUP_DELAY_S = 0.1
 PEER_FAILURES_MAX = 2
+# How much more often a VM that has just started asks its distributor, which may have
+# started with it and be about to read the tables.
+START_RETRIES = 1
 # A VM whose poll has failed after this time has told nothing for as long.
 SILENCE_S = 0.5
 # A poll that took longer than its timeout by this shows a pause of the process.
@@ -149,12 +153,15 @@
     def _choose_source(self, replica):
         sources = vms_to_follow(self._peers.own, self._peers.alive.values())
         failures = self._failures.get(replica.name, 0)
+        has_distributor = len(sources) > READERS
+        retries = START_RETRIES if has_distributor and not replica.loaded else 0
+        sources = sources[:1] * retries + sources
         now_s = time.monotonic()
         probe_store = (
             not self._store_reached
             and now_s - self._store_tried_s > STORE_PROBE_INTERVAL_S
         )
-        if failures >= PEER_FAILURES_MAX or probe_store or not sources:
+        if failures >= PEER_FAILURES_MAX + retries or probe_store or not sources:
             self._store_tried_s = now_s
             return self._store_source(replica)
         name = sources[failures % len(sources)]
@@ -282,7 +289,7 @@
             was_silent = taken_s >= SILENCE_S
             failures = self._failures.get(replica.name, 0)
             self._failures[replica.name] = (
-                PEER_FAILURES_MAX if was_silent else failures + 1
+                PEER_FAILURES_MAX + START_RETRIES if was_silent else failures + 1
             )
             self._log.event(
                 "peer-feed-failed", peer=source.name, table=replica.name, error=error
--- a/sesamespring/routing/vm_selection.py
+++ b/sesamespring/routing/vm_selection.py
@@ -10,7 +10,13 @@
 
 from sesamespring.routing.rendezvous import rank
 
-__all__ = ["decider_order", "reader_names", "usable_cores", "vms_for_callers"]
+__all__ = [
+    "READERS",
+    "decider_order",
+    "reader_names",
+    "usable_cores",
+    "vms_for_callers",
+]
 
 # A VM is large if it has at least this fraction of the cores of the largest VM. Only
 # large VMs work for all others.
@@ -22,6 +28,7 @@
 SLOTS_PER_CORE = 8.0
 # Slots for which one core decides at full load with half of its time to spare.
 DECIDED_SLOTS_PER_CORE = 100.0
+# VMs that read the store.
 READERS = 2
 # Forwarding requests saturates one core at about the byte rate of such a link.
 LINK_MBPS_PER_CORE = 40.0
--- a/tests/gateway/test_table_sync.py
+++ b/tests/gateway/test_table_sync.py
@@ -86,3 +86,48 @@
 
     monkeypatch.setattr(table_sync, "StoreClient", Client)
     asyncio.run(main())
+
+
+def test_vm_that_starts_with_its_distributor_asks_it_once_more(monkeypatch):
+    polled = []
+
+    class Client:
+        def __init__(self, address, timeout_s, on_call=None):
+            self._address = address
+
+        async def read_table(self, table):
+            polled.append(self._address[0])
+            raise ExternalError(ErrorKind.PLATFORM_AWAY, "unexpected status 503")
+
+    async def main():
+        others = {
+            f"{place}-{number}": attrs.evolve(
+                OWN,
+                name=f"{place}-{number}",
+                address=(f"{place}-{number}", 1),
+                data_centre=place,
+                # The readers are the large VMs of dc-a and dc-b.
+                cores={"dc-a": 2.0, "dc-b": 2.0, "dc-c": 0.8}[place] / (1 + 9 * number),
+            )
+            for place in ("dc-a", "dc-b", "dc-c")
+            for number in range(8)
+        }
+        peers = types.SimpleNamespace(alive=others, own=OWN, is_alive=lambda name: True)
+        settings = types.SimpleNamespace(process_name="own", store_address=("s", 1))
+        log = types.SimpleNamespace(event=lambda event, **fields: None)
+        counters = types.SimpleNamespace(add=lambda name: None)
+        timings = {"op": PollTiming(0.5, 0.7)}
+        sync = TableSync(settings, None, peers, None, counters, log, timings)
+        peers.broadcast_heartbeat = lambda: None
+        task = asyncio.create_task(sync.run(TableReplica("op")))
+        while len(polled) < 4:
+            await asyncio.sleep(0.01)
+        task.cancel()
+        distributor, again, reader, store = polled[:4]
+        assert distributor == again
+        assert distributor.startswith("dc-c")
+        assert not reader.startswith("dc-c")
+        assert store == "s"
+
+    monkeypatch.setattr(table_sync, "StoreClient", Client)
+    asyncio.run(main())
