Let attempts that a hedge overtook count against a slow version

Change: a cancelled attempt counts as slow where it had taken too long already; one whose VM was lost says nothing. Where few requests come, fewer answers are waited for.

--- a/sesamespring/gateway/slots/slot_server.py
+++ b/sesamespring/gateway/slots/slot_server.py
@@ -138,4 +138,6 @@
         runner = self._services.runner(remote.service)
         runner.withdraw(remote.request)
         for attempt in tuple(remote.request.attempts):
-            runner.finish_attempt(AttemptEnded(attempt, Outcome.CANCELLED, 0.0))
+            # Nobody knows how it ended.
+            lost = AttemptEnded(attempt, Outcome.CANCELLED, 0.0, blameless=True)
+            runner.finish_attempt(lost)
--- a/sesamespring/routing/rollout.py
+++ b/sesamespring/routing/rollout.py
@@ -35,6 +35,8 @@
 # that it may get which must be answered where they are fewer.
 ANSWERS_MIN = 30
 ANSWERS_SHARE_MIN = 0.5
+# Part of all requests that a trial may be expected to get where there are few.
+REQUESTS_SHARE = 0.5
 # Answers after the move that show a version under all of the load.
 MOVED_ANSWERS_MIN = 40
 # Time kept for writing that a roll-out is complete, as part of its duration.
@@ -261,7 +263,9 @@
     if not view.is_time_to_move:
         return Phase.TRIAL, "time-left"
     # Once the time is over, nothing is left to wait for.
-    needed = min(ANSWERS_MIN, ANSWERS_SHARE_MIN * view.trial_limit)
+    requests = view.per_s * max(0.0, view.elapsed_s)
+    possible = min(view.trial_limit, REQUESTS_SHARE * requests)
+    needed = min(ANSWERS_MIN, ANSWERS_SHARE_MIN * possible)
     if view.answers < needed and view.left_s > 0:
         return Phase.TRIAL, "few-answers"
     if view.is_untrusted:
--- a/sesamespring/routing/rollout_evidence.py
+++ b/sesamespring/routing/rollout_evidence.py
@@ -80,15 +80,18 @@
         route: Name of the route.
         failed: Whether the target failed the request, or gave no answer in ample time.
         duration_s: Duration without what its load explains, in seconds.
+        is_cut: Whether the attempt was cancelled before its end, as another one was
+            answered first or the caller left.
     """
 
     target: tuple
     route: str
     failed: bool
     duration_s: float
+    is_cut: bool = False
 
 
-def judged_answer(target, route, active, ended, saturation):
+def judged_answer(target, route, active, ended, saturation, now_s):
     """Return the Answer that the end of an attempt is, or None if it says nothing.
 
     Args:
@@ -97,12 +100,18 @@
         active: The ActiveAttempt.
         ended: The AttemptEnded.
         saturation: Factor on the duration, as the attempt took the last slot, or 1.
+        now_s: Current time.
     """
     if ended.blameless:
         return None
     outcome = ended.outcome
     if outcome is Outcome.ANSWERED:
-        return Answer(target, route, False, _explained(active, ended, saturation))
+        duration_s = _unexplained_s(active, ended.taken_s, saturation)
+        return Answer(target, route, False, duration_s)
+    # A VM states a duration only if the attempt ended by a fault of its own link.
+    if outcome is Outcome.CANCELLED and not ended.taken_s:
+        duration_s = _unexplained_s(active, now_s - active.sent_s, saturation)
+        return Answer(target, route, False, duration_s, True)
     timed_out = outcome is Outcome.TIMED_OUT
     if timed_out and ended.taken_s < ENOUGH_TIME_FACTOR * active.expected_s:
         return None
@@ -111,11 +120,11 @@
     return None
 
 
-def _explained(active, ended, saturation):
-    """Return the duration without the slowdown that load reports explain, in s."""
+def _unexplained_s(active, taken_s, saturation):
+    """Return a duration without the slowdown that load reports explain, in seconds."""
     explained = min(EXPLAINED_SLOWDOWN_MAX, max(1.0, active.slowdown_at_dispatch))
     explained *= min(EXPLAINED_SLOWDOWN_MAX, max(1.0, saturation))
-    return ended.taken_s / explained
+    return taken_s / explained
 
 
 class _Suspicion:
@@ -202,6 +211,9 @@
 
     def observe_old(self, answer):
         """Take in an Answer of another version than the new one."""
+        if answer.is_cut:
+            self._observe_cut(answer)
+            return
         self.old_answers += 1
         self.old_failures += answer.failed
         for route in (ALL_ROUTES, answer.route):
@@ -218,6 +230,9 @@
             several_targets: Whether several targets of the version are in use, so that
                 one of them alone does not condemn it.
         """
+        if answer.is_cut:
+            self._observe_duration(answer, several_targets)
+            return
         self.answers += 1
         self.failures += answer.failed
         for route in (ALL_ROUTES, answer.route):
@@ -238,11 +253,19 @@
         for test in SLOW_TESTS:
             limit_s = test.factor * ordered[int(test.quantile * len(ordered))]
             slow = answer.duration_s > limit_s
+            if answer.is_cut and not slow:
+                continue
             ratio = _log_ratio(slow, test.good_rate, test.bad_rate)
             for route in (ALL_ROUTES, answer.route):
                 found = self._suspicions[route, test]
                 found.add(answer.target, ratio, several_targets)
 
+    def _observe_cut(self, answer):
+        """Count a cancelled attempt of another version if it was long already."""
+        durations = self._durations.get(answer.route)
+        if durations and answer.duration_s > max(durations):
+            durations.append(answer.duration_s)
+
     def _failure_rate(self, route):
         """Return the failure rate that a good version may have.
 
--- a/sesamespring/routing/rollout_steering.py
+++ b/sesamespring/routing/rollout_steering.py
@@ -190,7 +190,7 @@
             self._route_sent[request.route] += 1
             self._last_pick_s = now_s
 
-    def ended(self, request, state, active, ended, saturation):
+    def ended(self, request, state, active, ended, saturation, now_s):
         """Record the end of an attempt.
 
         Args:
@@ -199,11 +199,12 @@
             active: The ActiveAttempt.
             ended: The AttemptEnded.
             saturation: Factor on the duration, as the attempt took the last slot, or 1.
+            now_s: Current time.
         """
         if not self.active:
             return
         answer = judged_answer(
-            state.entry.key, request.route, active, ended, saturation
+            state.entry.key, request.route, active, ended, saturation, now_s
         )
         if answer is None:
             return
--- a/sesamespring/routing/scheduler.py
+++ b/sesamespring/routing/scheduler.py
@@ -308,7 +308,7 @@
     def _learn(self, request, state, active, ended, now_s):
         outcome = ended.outcome
         saturation = self._service_times.saturation_factor if active.saturates else 1.0
-        self._targets.rollout.ended(request, state, active, ended, saturation)
+        self._targets.rollout.ended(request, state, active, ended, saturation, now_s)
         if outcome in _RESPONSES:
             state.heard_s = now_s
         if ended.blameless:
--- a/tests/routing/rollout_simulation.py
+++ b/tests/routing/rollout_simulation.py
@@ -102,6 +102,7 @@
         self.in_flight = False
         self.bad_answers = 0
         self.bad_s = None
+        self.cancelled = set()
 
     def run(self):
         """Play until some time after the order's time and return the Result."""
@@ -191,6 +192,8 @@
 
     def end(self, command, fails, taken_s, is_bad, now_s):
         self.running[command.entry.key] -= 1
+        if command.attempt in self.cancelled:
+            return
         self.bad_answers += is_bad
         if self.bad_answers >= 50 and self.bad_s is None:
             self.bad_s = now_s
@@ -203,4 +206,14 @@
         else:
             self.result.failed += fails
             self.scheduler.withdraw(request)
+            commands += self.cancel_others(request, now_s)
         self.execute(commands, now_s)
+
+    def cancel_others(self, request, now_s):
+        """End the other attempts of a request, as one has been answered."""
+        commands = []
+        for attempt in tuple(request.attempts):
+            self.cancelled.add(attempt)
+            ended = AttemptEnded(attempt, Outcome.CANCELLED, 0.0)
+            commands += self.scheduler.finish_attempt(ended, now_s)
+        return commands
