--- a/sesamespring/routing/scheduler.py
+++ b/sesamespring/routing/scheduler.py
@@ -411,7 +411,7 @@
             state.heard_s = now_s
         if active.responding and outcome not in _BREAKS:
             return
-        self._targets.rollout.ended(request, state, active, ended, saturation)
+        self._targets.rollout.ended(request, state, active, ended, saturation, now_s)
         if ended.blameless:
             return
         if outcome is Outcome.ANSWERED:
