Tell cancelled attempts from those that ended by a fault of the VM

Cause: both crossed the wire as cancelled, so a slow version's overtaken attempts could not be counted. Not traced: a request cancelled by its VM would give the same count.

--- a/sesamespring/gateway/datagrams.thrift
+++ b/sesamespring/gateway/datagrams.thrift
@@ -134,6 +134,8 @@
   7: optional i32 slots
   8: optional double slowdown
   9: optional double cold_left_s
+  /* Whether the cause lies with the VM, so that the end says nothing of the target. */
+  25: optional bool blameless
 }
 
 /* Tells of crashes before the next heartbeat does. */
--- a/sesamespring/gateway/slots/slot_messages.py
+++ b/sesamespring/gateway/slots/slot_messages.py
@@ -122,6 +122,7 @@
         outcome=outcome.value,
         taken_s=end.taken_s,
         cold_left_s=end.cold_left_s,
+        blameless=end.blameless or None,
     )
     if end.load is not None:
         message.running = end.load.running
@@ -144,4 +145,5 @@
         message.taken_s,
         load,
         message.cold_left_s,
+        blameless=bool(message.blameless),
     )
--- a/sesamespring/routing/rollout_evidence.py
+++ b/sesamespring/routing/rollout_evidence.py
@@ -108,8 +108,7 @@
     if outcome is Outcome.ANSWERED:
         duration_s = _unexplained_s(active, ended.taken_s, saturation)
         return Answer(target, route, False, duration_s)
-    # A VM states a duration only if the attempt ended by a fault of its own link.
-    if outcome is Outcome.CANCELLED and not ended.taken_s:
+    if outcome is Outcome.CANCELLED:
         duration_s = _unexplained_s(active, now_s - active.sent_s, saturation)
         return Answer(target, route, False, duration_s, True)
     timed_out = outcome is Outcome.TIMED_OUT
--- a/tests/gateway/test_slot_server.py
+++ b/tests/gateway/test_slot_server.py
@@ -3,10 +3,13 @@
 import asyncio
 import types
 
+import pytest
+
 from sesamespring.gateway.generated.ttypes import SlotEnded, SlotGranted, SlotWanted
 from sesamespring.gateway.slots.runner import ServiceRunner
+from sesamespring.gateway.slots.slot_messages import decode_ended, encode_ended
 from sesamespring.gateway.slots.slot_server import SlotServer
-from sesamespring.routing.messages import Outcome
+from sesamespring.routing.messages import AttemptEnded, Outcome
 from tests.routing.support import make_scheduler, make_target
 
 CLIENT = ("ip-b", 1)
@@ -93,3 +96,9 @@
         assert len(peers.granted(OTHER)) == 1
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize("blameless", [True, False])
+def test_end_by_a_fault_of_the_vm_is_known_as_such(blameless):
+    end = AttemptEnded(1, Outcome.CANCELLED, 0.5, blameless=blameless)
+    assert decode_ended(encode_ended(7, 1, end)) == end
