--- a/sesamespring/gateway/datagrams.thrift
+++ b/sesamespring/gateway/datagrams.thrift
@@ -144,6 +144,8 @@
   9: optional double cold_left_s
   /* The response has begun: only the slot remains taken until the attempt ends. */
   20: optional bool responding
+  /* Whether the cause lies with the VM, so that the end says nothing of the target. */
+  25: optional bool blameless
 }
 
 /* Tells of crashes before the next heartbeat does. */
--- a/sesamespring/gateway/slots/slot_messages.py
+++ b/sesamespring/gateway/slots/slot_messages.py
@@ -136,6 +136,7 @@
         taken_s=end.taken_s,
         cold_left_s=end.cold_left_s,
         responding=end.responding or None,
+        blameless=end.blameless or None,
     )
     if end.load is not None:
         message.running = end.load.running
@@ -159,4 +160,5 @@
         load,
         message.cold_left_s,
         responding=bool(message.responding),
+        blameless=bool(message.blameless),
     )
--- a/sesamespring/routing/hedging.py
+++ b/sesamespring/routing/hedging.py
@@ -5,7 +5,7 @@
 still end in time and each hedge takes a slot and a part of the retry budget.
 """
 
-__all__ = ["is_hedge_due", "is_overdue"]
+__all__ = ["hedge_slot", "is_hedge_due", "is_overdue"]
 
 # An attempt that takes this many times its expected duration may stay slow.
 OVERDUE_FACTOR = 1.5
@@ -50,3 +50,28 @@
     if now_s + needed_s > request.due_s:
         return now_s + LAST_HEDGE_FACTOR * needed_s > request.deadline_s
     return now_s + (1 + GOAL_MARGIN) * needed_s > request.due_s
+
+
+def hedge_slot(request, free, service_time_s, now_s):
+    """Return the Slot for a second attempt, or None if it would end too late.
+
+    One in the request's data centre goes first as long as it makes the goal.
+
+    Args:
+        request: The ScheduledRequest.
+        free: List of the Slots that are free now.
+        service_time_s: Service time of the request at an unloaded target.
+        now_s: Current time.
+    """
+
+    def penalized_end_s(slot):
+        return slot.penalized_end_s(service_time_s, now_s, request.data_centre)
+
+    untried = [slot for slot in free if slot.key not in request.tried]
+    near = [slot for slot in untried if slot.data_centre == request.data_centre]
+    slot = min(near, key=penalized_end_s, default=None)
+    if slot is None or slot.end_s(service_time_s, now_s) > request.due_s:
+        slot = min(untried, key=penalized_end_s, default=None)
+    if slot is None or slot.end_s(service_time_s, now_s) > request.deadline_s:
+        return None
+    return slot
--- a/sesamespring/routing/scheduler.py
+++ b/sesamespring/routing/scheduler.py
@@ -4,9 +4,10 @@
 import math
 
 from sesamespring.routing import refusals
+from sesamespring.routing.attempt_lessons import learn
 from sesamespring.routing.departures import DepartureMonitor
 from sesamespring.routing.fair_shares import FairShares
-from sesamespring.routing.hedging import is_hedge_due, is_overdue
+from sesamespring.routing.hedging import hedge_slot, is_hedge_due, is_overdue
 from sesamespring.routing.messages import Dispatch, Outcome
 from sesamespring.routing.queueing import make_plan
 from sesamespring.routing.service_targets import ServiceTargets
@@ -16,8 +17,6 @@
 
 __all__ = ["ServiceScheduler"]
 
-REJECTED_BACKOFF_S = 0.05
-UNREACHABLE_BACKOFF_S = 0.5
 # A longer queue is planned as a whole only once per interval, as the time that this
 # takes is proportional to its length.
 FULL_PLAN_QUEUE_MAX = 32
@@ -25,11 +24,6 @@
 # A route that was idle so long may also try a request with less time than its goal.
 TRIAL_INTERVAL_S = 1.0
 
-# A target that was given at least this multiple of the expected duration has failed if
-# the caller's deadline ends the attempt. Given less, the request was sent too late.
-ENOUGH_TIME_FACTOR = 4.0
-
-_FAILURES = frozenset({Outcome.FAILED, Outcome.BROKEN})
 # How an attempt fails after its response has begun.
 _BREAKS = frozenset({Outcome.BROKEN})
 _RESPONSES = frozenset({Outcome.ANSWERED, Outcome.FAILED, Outcome.REJECTED})
@@ -341,7 +335,7 @@
                 free = [
                     slot for slot in self._open_slots(now_s) if slot.free_s <= now_s
                 ]
-            slot = self._hedge_slot(request, free, now_s)
+            slot = hedge_slot(request, free, self._service_time_s(request), now_s)
             if slot is None:
                 continue
             needed_s = slot.end_s(self._service_time_s(request), now_s) - now_s
@@ -362,21 +356,6 @@
             return False
         return self._is_known(request)
 
-    def _hedge_slot(self, request, free, now_s):
-        untried = [slot for slot in free if slot.key not in request.tried]
-        service_time_s = self._service_time_s(request)
-
-        def penalized_end_s(slot):
-            return slot.penalized_end_s(service_time_s, now_s, request.data_centre)
-
-        near = [slot for slot in untried if slot.data_centre == request.data_centre]
-        slot = min(near, key=penalized_end_s, default=None)
-        if slot is None or slot.end_s(service_time_s, now_s) > request.due_s:
-            slot = min(untried, key=penalized_end_s, default=None)
-        if slot is None or slot.end_s(service_time_s, now_s) > request.deadline_s:
-            return None
-        return slot
-
     def _open_slots(self, now_s):
         return self._targets.rollout.usable(self._all_open_slots(now_s))
 
@@ -414,36 +393,4 @@
         self._targets.rollout.ended(request, state, active, ended, saturation, now_s)
         if ended.blameless:
             return
-        if outcome is Outcome.ANSWERED:
-            unloaded_s = self._service_time_s(request)
-            unloaded_s *= saturation
-            state.record_answer(active, ended.taken_s, unloaded_s, now_s)
-            self._service_times.observe(
-                request.route,
-                request.goal_s,
-                ended.taken_s,
-                active.slowdown_at_dispatch,
-                active.saturates,
-            )
-        elif _is_failure(active, ended):
-            state.record_failure(now_s)
-        elif outcome is Outcome.REJECTED:
-            state.back_off(now_s, REJECTED_BACKOFF_S)
-            state.record_rejection(now_s)
-        elif outcome is Outcome.NOT_SENT and state.heard_s <= active.sent_s:
-            state.record_failure(now_s)
-            state.back_off(now_s, UNREACHABLE_BACKOFF_S)
-        elif outcome is Outcome.MISDIRECTED:
-            state.in_service = False
-
-
-def _is_failure(active, ended):
-    """Return whether the end of an attempt counts against its target.
-
-    Args:
-        active: The ActiveAttempt.
-        ended: The AttemptEnded.
-    """
-    if ended.outcome is Outcome.TIMED_OUT:
-        return ended.taken_s >= ENOUGH_TIME_FACTOR * active.expected_s
-    return ended.outcome in _FAILURES
+        learn(request, state, active, ended, self._service_times, now_s)
--- a/tests/gateway/test_slot_server.py
+++ b/tests/gateway/test_slot_server.py
@@ -3,9 +3,11 @@
 import asyncio
 import types
 
+import pytest
+
 from sesamespring.gateway.generated.ttypes import SlotEnded, SlotGranted, SlotWanted
 from sesamespring.gateway.slots.runner import ServiceRunner
-from sesamespring.gateway.slots.slot_messages import encode_ended
+from sesamespring.gateway.slots.slot_messages import decode_ended, encode_ended
 from sesamespring.gateway.slots.slot_server import SlotServer
 from sesamespring.routing.messages import AttemptEnded, Outcome
 from tests.routing.support import make_scheduler, make_target
@@ -110,3 +112,9 @@
         assert len(peers.granted(OTHER)) == 1
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize("blameless", [True, False])
+def test_end_by_a_fault_of_the_vm_is_known_as_such(blameless):
+    end = AttemptEnded(1, Outcome.CANCELLED, 0.5, blameless=blameless)
+    assert decode_ended(encode_ended(7, 1, end)) == end
