--- a/tests/gateway/test_client_crowd.py
+++ b/tests/gateway/test_client_crowd.py
@@ -11,6 +11,7 @@
 
 import pytest
 
+from soak.accounts import LASTING_KEYS
 from soak.cluster import HOST, Cluster
 from soak.vm import CALLERS_PORT, VmLimits
 from tests.gateway.cluster import read_response, request_bytes
@@ -29,6 +30,7 @@
 CROWD_IPS = tuple(f"127.0.3.{number}" for number in range(1, 5))
 RECEIVE_BUFFER_BYTES = 4 * KB
 SERVICE_TIME_S = 0.005
+KEY = next(iter(LASTING_KEYS))
 
 pytestmark = pytest.mark.alone
 
@@ -46,6 +48,7 @@
         "Host": HOST,
         "Sesamespring-Request-Id": name,
         "Sesamespring-Deadline-Ms": "2000",
+        "Sesamespring-Credential": KEY,
     }
 
 
