--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,6 +1,7 @@
 """An answer of 62 small chunks makes the daemon deaf on the connection it came by."""
 
 import asyncio
+import os
 import pathlib
 import signal
 import sys
@@ -102,4 +103,6 @@
     return bench.BROKEN if lost else bench.HELD
 
 
-bench.main(case, __file__)
+RECORD = pathlib.Path(__file__).resolve().with_name("record.txt")
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+bench.main(case, RECORD, TROUBLE)
--- a/review/harness_2/bench.py
+++ b/review/harness_2/bench.py
@@ -104,10 +104,9 @@
 class Record:
     """Lines of record.txt: what was sent, answered and run, with the time."""
 
-    def __init__(self, folder):
-        self._file = open(  # noqa: SIM115 - open as long as the case runs
-            folder / "record.txt", "w", encoding="utf-8"
-        )
+    def __init__(self, path):
+        # Open as long as the case runs.
+        self._file = open(path, "w", encoding="utf-8")  # noqa: SIM115
         self._started_s = time.monotonic()
 
     def __call__(self, text):
@@ -618,16 +617,16 @@
     }
 
 
-def main(case, file):
+def main(case, record_path, trouble):
     """Run a case and exit with its result.
 
     Args:
         case: Coroutine function of the Record, a temporary folder and whether there is
             trouble. It returns HELD or BROKEN.
-        file: Path of the case's script, in whose folder record.txt is written.
+        record_path: Path of the case's record.txt.
+        trouble: Whether the case runs with its disruption.
     """
-    record = Record(pathlib.Path(file).resolve().parent)
-    trouble = os.environ.get("TROUBLE", "1") != "0"
+    record = Record(record_path)
     record(f"trouble: {trouble}")
 
     async def run():
