Read a kept connection again behind a response that ends with a turn

Cause: a turn of parsing ended by its count also where the message had ended with it. The pause that followed stopped the transport; the exchange was over when its timer fired, so it returned without starting the transport again, and nothing else does. Ruled out: 61 and 63 chunks hold, and 62 hold if the next exchange begins within 5 ms, so neither the parser nor a waiter loses anything.

Change: turns of parsing are a class of their own. A turn is pending only if something may still be parsed, and is cancelled with its exchange or its connection. Channel reads by one rule, applied at each change of its state; without an exchange it always reads, so that it sees its end, a reset and stray bytes in its pool. The client of the store, health checks and relays share it.

--- a/sesamespring/http/channel.py
+++ b/sesamespring/http/channel.py
@@ -10,6 +10,7 @@
 import h11
 
 from sesamespring.http.headers import FRAMING_HEADERS
+from sesamespring.http.turns import ParsingTurns
 
 __all__ = ["BODILESS_STATUSES", "Channel", "ChannelClosed", "open_channel"]
 
@@ -24,12 +25,6 @@
 WRITE_BUFFER_BYTES = 64 * 1024
 READ_BUFFER_BYTES = 256 * 1024
 HEAD_BYTES_MAX = 64 * 1024
-# A response without end may consist of tiny chunks or of interim heads. After this many
-# parts the process does something else, unless each has brought this many bytes of the
-# body on average; then parsing pauses.
-EVENTS_PER_TURN = 64
-EVENT_BYTES_MIN = 32
-PARSE_PAUSE_S = 0.005
 # By how much the framing of a body may exceed the body, where each chunk takes at least
 # ``CHUNK_FRAMING_BYTES``.
 FRAMING_EXCESS_BYTES_MAX = 16 * 1024
@@ -108,8 +103,7 @@
         self._wanted_bytes = 0
         self._response_ended = False
         self._method = "GET"
-        # Timer that ends a pause of parsing, or None.
-        self._parse_timer = None
+        self._turns = ParsingTurns(self._may_parse, self._parse_next, self._parse)
         # Timer of the next look for a reset after the end of a response, or None.
         self._reset_timer = None
         self._has_request_body = False
@@ -162,7 +156,7 @@
             self._transport.abort()
             return
         self._h11.receive_data(data)
-        if self._parse_timer is None:
+        if not self._turns.pending:
             self._parse()
 
     def eof_received(self):
@@ -180,6 +174,7 @@
 
     def connection_lost(self, exc):
         """Fail the exchange in progress and wake its reader and writer."""
+        self._turns.cancel()
         if self._reset_timer is not None:
             self._reset_timer.cancel()
         self._fail(ChannelClosed(str(exc) if exc else "connection closed"))
@@ -292,8 +287,10 @@
         Args:
             now_s: Time on the loop's clock, stored in ``idle_since_s``.
         """
+        self._turns.cancel()
         self._h11 = None
         self.idle_since_s = now_s
+        self._update_reading()
 
     def abort(self):
         """Close the connection at once and fail the exchange in progress."""
@@ -301,6 +298,7 @@
         self._transport.abort()
 
     def _start_response(self, state):
+        self._turns.cancel()
         self._h11 = state
         self._response = None
         self._has_request_body = False
@@ -310,6 +308,7 @@
         self._response_ended = False
         self._interim_responses = 0
         self._framing_excess_bytes = 0
+        self._update_reading()
 
     def _check_reset_later(self):
         loop = asyncio.get_running_loop()
@@ -351,33 +350,25 @@
 
     def _parse(self):
         """Parse what was received; later what is left of it after one turn's work."""
-        self._parse_timer = None
-        if self._error is not None or self._h11 is None:
-            return
         try:
-            if not self._process_events():
-                loop = asyncio.get_running_loop()
-                self._parse_timer = loop.call_later(PARSE_PAUSE_S, self._parse)
+            self._turns.run()
         except h11.RemoteProtocolError as error:
             self._fail(error)
             self._transport.abort()
         self._update_reading()
         self._wake()
 
-    def _process_events(self):
-        """Process up to ``EVENTS_PER_TURN`` parts; return whether none is left."""
-        count = content_bytes = 0
-        while count < EVENTS_PER_TURN or content_bytes >= count * EVENT_BYTES_MIN:
-            if self._response_ended:
-                return True
-            event = self._h11.next_event()
-            if event is h11.NEED_DATA or event is h11.PAUSED:
-                return True
-            if isinstance(event, h11.Data):
-                content_bytes += len(event.data)
-            self._process_event(event)
-            count += 1
-        return False
+    def _may_parse(self):
+        in_exchange = self._error is None and self._h11 is not None
+        return in_exchange and not self._response_ended
+
+    def _parse_next(self):
+        """Process the next event of the response, as ParsingTurns asks for it."""
+        event = self._h11.next_event()
+        if event is h11.NEED_DATA or event is h11.PAUSED:
+            return None
+        self._process_event(event)
+        return len(event.data) if isinstance(event, h11.Data) else 0
 
     def _process_event(self, event):
         if isinstance(event, h11.Response):
@@ -409,12 +400,22 @@
         self._buffered_bytes += len(data)
 
     def _update_reading(self):
-        """Read only while there is room for a body, and all that was read is parsed."""
-        is_full = self._buffered_bytes > max(READ_BUFFER_BYTES, self._wanted_bytes)
-        if is_full or self._parse_timer is not None:
-            self._transport.pause_reading()
-        else:
+        if self._may_read:
             self._transport.resume_reading()
+        else:
+            self._transport.pause_reading()
+
+    @property
+    def _may_read(self):
+        """Whether to read: all that was read is parsed, and there is room for a body.
+
+        Between two exchanges the connection always reads, so that it sees its end, a
+        reset, and bytes that belong to no request.
+        """
+        if self._h11 is None:
+            return True
+        is_full = self._buffered_bytes > max(READ_BUFFER_BYTES, self._wanted_bytes)
+        return not is_full and not self._turns.pending
 
     async def _wait(self):
         if self._error is not None:
