Wait for an upload's bytes before parsing is started again

Callers saw: a chunked upload of over 512 KB that waited for a slot, or that its target took slowly, got 504 at its time limit; the target never got the last chunk. With a stated length the target answered, but its connection was lost.

Cause: when the buffer of a body is empty, parsing starts again within the call. The reader of the body began to wait only after that call, so that an end (or bytes) that the parser still had woke nobody. It happens if the last bytes are those that fill the buffer.

Change: the reader waits first and starts parsing then.

--- a/sesamespring/http/incoming.py
+++ b/sesamespring/http/incoming.py
@@ -133,7 +133,6 @@
             if self._body_error is not None:
                 # The traceback of the error itself would keep the body in a cycle.
                 raise copy.copy(self._body_error)
-            self._connection.resume_body()
             await self._wait_for_body()
 
     def send_whole(self, status, headers, body):
@@ -314,8 +313,10 @@
             self._connection.use.add(-released)
 
     async def _wait_for_body(self):
+        """Wait for more of the body, which parsing again may bring at once."""
         self._body_waiter = asyncio.get_running_loop().create_future()
         try:
+            self._connection.resume_body()
             await self._body_waiter
         finally:
             self._body_waiter = None
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -5,6 +5,8 @@
 
 import pytest
 
+from sesamespring.http.incoming import BODY_BUFFER_BYTES
+from sesamespring.routing.caller_memory import KEPT_BODY_BYTES_MAX
 from tests.gateway.cluster import (
     CALLERS_PORT,
     DIRECTORY_PORT,
@@ -82,6 +84,37 @@
     run_scenario(scenario)
 
 
+# It waits for a slot, so its rest fills the buffer: its target never got the last
+# chunk, and its caller no answer in time.
+@pytest.mark.parametrize("more_bytes", [-1000, -1, 0, 1, 1000])
+def test_upload_that_waits_for_a_slot_reaches_its_target_whole(more_bytes):
+    async def scenario(cluster):
+        ip = cluster.ips[0]
+        earlier = asyncio.ensure_future(cluster.call(ip, "r1"))
+        await asyncio.sleep(0.05)
+        start = b"x" * (KEPT_BODY_BYTES_MAX + 1)
+        rest = b"y" * (BODY_BUFFER_BYTES + more_bytes)
+        fields = {
+            "Host": HOST,
+            "Sesamespring-Request-Id": "r2",
+            "Sesamespring-Deadline-Ms": "1000",
+            "Transfer-Encoding": "chunked",
+        }
+        reader, writer = await asyncio.open_connection(ip, CALLERS_PORT)
+        writer.write(request_bytes("/write/2", "POST", fields))
+        writer.write(b"%x\r\n%s\r\n" % (len(start), start))
+        await asyncio.sleep(0.1)
+        writer.write(b"%x\r\n%s\r\n0\r\n\r\n" % (len(rest), rest))
+        upload = await read_response(reader)
+        writer.transport.abort()
+        assert (await earlier).status == 200
+        assert upload.status == 200
+        bodies = {r.request_id: r.body for t in cluster.targets for r in t.received}
+        assert bodies["r2"] == start + rest
+
+    run_scenario(scenario, targets=1, work_s=0.3, slots=1)
+
+
 def test_body_over_the_limit_is_rejected():
     async def scenario(cluster):
         response = await cluster.call(
--- /dev/null
+++ b/tests/http/test_caller_reading.py
@@ -0,0 +1,92 @@
+"""Test that a caller's connection is read again after each pause, in each order."""
+
+import asyncio
+
+import pytest
+
+from sesamespring.gateway.callers.caller_connections import CallerConnections
+from sesamespring.http.incoming import BODY_BUFFER_BYTES
+from sesamespring.http.pipeline import READ_BYTES, ServerLimits
+from tests.loopback import loopback_ip
+
+HOST = loopback_ip(0, 4)
+TIMEOUT_S = 3.0
+HEAD_BYTES_MAX = 2 * READ_BYTES
+
+
+def run(scenario, handle):
+    """Run ``scenario(connections, reader, writer)`` on a connection.
+
+    Args:
+        scenario: Coroutine function.
+        handle: Coroutine function that responds to an IncomingRequest.
+    """
+
+    async def main():
+        limits = ServerLimits(HEAD_BYTES_MAX, 1.0, 15.0)
+        connections = CallerConnections(handle, 10, lambda: limits)
+        await connections.listen((HOST, 0))
+        port = connections._socket.getsockname()[1]
+        reader, writer = await asyncio.open_connection(HOST, port)
+        try:
+            async with asyncio.timeout(TIMEOUT_S):
+                await scenario(connections, reader, writer)
+        finally:
+            writer.transport.abort()
+            connections.close()
+
+    asyncio.run(main())
+
+
+def head(method, *fields):
+    return "\r\n".join([f"{method} / HTTP/1.1", "Host: h", *fields, "", ""]).encode()
+
+
+def chunked(pieces):
+    framed = [b"%x\r\n%s\r\n" % (len(piece), piece) for piece in pieces]
+    return b"".join(framed) + b"0\r\n\r\n"
+
+
+async def respond_with_size_later(incoming):
+    """Take the body only after it has filled its buffer; answer with its size."""
+    await asyncio.sleep(0.1)
+    size = 0
+    async for piece in incoming.iter_body():
+        size += len(piece)
+    incoming.send_whole(200, [], b"%d" % size)
+
+
+async def respond(incoming):
+    incoming.send_whole(200, [], b"x")
+
+
+def check_upload(request, size):
+    async def scenario(connections, reader, writer):
+        for _ in range(2):
+            writer.write(request)
+            response = await reader.readuntil(b"\r\n\r\n")
+            assert response.startswith(b"HTTP/1.1 200")
+            assert await reader.readexactly(len(str(size))) == b"%d" % size
+
+    run(scenario, respond_with_size_later)
+
+
+# An upload was never at its end if its last bytes filled the buffer before they were
+# taken: its target waited for the rest (CONFIG, LOST).
+@pytest.mark.parametrize("more_bytes", [-READ_BYTES, -1, 0, 1, 1000, READ_BYTES])
+@pytest.mark.parametrize("buffers", [1, 2])
+def test_upload_that_fills_its_buffer_has_an_end(buffers, more_bytes):
+    size = buffers * BODY_BUFFER_BYTES + more_bytes
+    body = b"x" * size
+    check_upload(head("POST", f"Content-Length: {size}") + body, size)
+
+
+# The same in chunks: what the parser had left when the buffer was full held the end.
+@pytest.mark.parametrize("chunk_bytes", [31, 5000, READ_BYTES, 100_000])
+@pytest.mark.parametrize("more_bytes", [0, 1, 40_000])
+def test_upload_in_chunks_that_fills_its_buffer_has_an_end(chunk_bytes, more_bytes):
+    size = BODY_BUFFER_BYTES + more_bytes
+    whole = b"x" * size
+    pieces = [whole[i : i + chunk_bytes] for i in range(0, size, chunk_bytes)]
+    request = head("POST", "Transfer-Encoding: chunked") + chunked(pieces)
+    check_upload(request, size)
