Read a request head that is longer than what is read ahead

Callers saw: 408 for a head of over 64 KB, although maxHeaderBytes allowed it. Between VMs, where 128 KB are allowed, the attempt failed.

Cause: the bound on what is read of requests that may not start yet also stopped reading inside a head. Nothing starts it then, as only further bytes could end the head.

Change: the bound holds while requests wait for others. The parser bounds a head by itself.

--- a/sesamespring/http/pipeline.py
+++ b/sesamespring/http/pipeline.py
@@ -367,13 +367,22 @@
         """Read only what can be parsed, or has to be ignored before the end."""
         if self._lost:
             return
-        # While requests wait, their caller's disconnect is noticed as long as it reads.
-        waits = self._paused and self._current is None
-        is_full = self._paused and not waits or self._use.unparsed_bytes >= READ_BYTES
-        if is_full or self._parse_timer is not None:
-            self._transport.pause_reading()
-        else:
+        if self._may_read and self._parse_timer is None:
             self._transport.resume_reading()
+        else:
+            self._transport.pause_reading()
+
+    @property
+    def _may_read(self):
+        """Whether more of a request is wanted, or a disconnect can be noticed.
+
+        The parser bounds a head by itself, and refuses one that is too large.
+        """
+        if not self._paused:
+            return True
+        # While requests wait, their caller's disconnect is noticed as long as it reads.
+        waits = self._current is None
+        return waits and self._use.unparsed_bytes < READ_BYTES
 
     def _process_event(self, event):
         if isinstance(event, h11.Request):
--- a/tests/http/test_caller_reading.py
+++ b/tests/http/test_caller_reading.py
@@ -90,3 +90,27 @@
     pieces = [whole[i : i + chunk_bytes] for i in range(0, size, chunk_bytes)]
     request = head("POST", "Transfer-Encoding: chunked") + chunked(pieces)
     check_upload(request, size)
+
+
+# A head of over 64 KB was never read, though the limit allows it: 408.
+@pytest.mark.parametrize("more_bytes", [-200, -1, 0, 1, 1000, READ_BYTES - 2000])
+def test_large_head_within_the_limit_is_read(more_bytes):
+    async def scenario(connections, reader, writer):
+        for _ in range(2):
+            field = "X: " + "x" * (READ_BYTES + more_bytes)
+            writer.write(head("GET", field))
+            response = await reader.readuntil(b"\r\n\r\nx")
+            assert response.startswith(b"HTTP/1.1 200")
+
+    run(scenario, respond)
+
+
+# It is bounded all the same.
+@pytest.mark.parametrize("size", [HEAD_BYTES_MAX, 4 * HEAD_BYTES_MAX])
+def test_head_over_the_limit_is_refused(size):
+    async def scenario(connections, reader, writer):
+        writer.write(head("GET", "X: " + "x" * size))
+        response = await reader.readuntil(b"\r\n\r\n")
+        assert response.startswith(b"HTTP/1.1 431")
+
+    run(scenario, respond)
