Decide again whether to read where a caller's parsing ends

Callers saw: a reset while they still sent an upload that had been refused; and at a stop, requests of callers that had left went on at their targets, if more than 64 KB had been sent ahead.

Cause: eight places ended parsing by taking the parser away, and whether the connection reads was decided elsewhere or not again. The timer of a turn came after the end and stopped reading for a full buffer of a request that was over; a stop left reading paused for requests that were not to be read any more.

Change: _stop_parsing is the one way to end parsing, cancels the pending turn and decides again; _may_read is the one rule. The turns are those of http/turns.py, in place of a second copy.

--- a/sesamespring/http/channel.py
+++ b/sesamespring/http/channel.py
@@ -103,7 +103,7 @@
         self._wanted_bytes = 0
         self._response_ended = False
         self._method = "GET"
-        self._turns = ParsingTurns(self._may_parse, self._parse_next, self._parse)
+        self._turns = ParsingTurns()
         # Timer of the next look for a reset after the end of a response, or None.
         self._reset_timer = None
         self._has_request_body = False
@@ -351,7 +351,7 @@
     def _parse(self):
         """Parse what was received; later what is left of it after one turn's work."""
         try:
-            self._turns.run()
+            self._turns.run(self._may_parse, self._parse_next, self._parse)
         except h11.RemoteProtocolError as error:
             self._fail(error)
             self._transport.abort()
--- a/sesamespring/http/pipeline.py
+++ b/sesamespring/http/pipeline.py
@@ -7,6 +7,7 @@
 
 from sesamespring.http.connection_use import ConnectionUse
 from sesamespring.http.incoming import CallerDisconnected, IncomingRequest
+from sesamespring.http.turns import ParsingTurns
 
 __all__ = ["CallerConnection", "ServerLimits"]
 
@@ -16,11 +17,6 @@
 # What is read at a time, and at most of requests that may not start yet.
 READ_BYTES = 64 * 1024
 LINGER_S = 1.0
-# After this many parts of requests the process does something else, unless each has
-# brought this many bytes of a body on average; then parsing pauses.
-EVENTS_PER_TURN = 64
-EVENT_BYTES_MIN = 32
-PARSE_PAUSE_S = 0.005
 # Shortest time between two looks at the timeouts of a connection.
 TIMEOUT_CHECK_S_MIN = 0.05
 # Digits of a stated length that are read; more mean a body over every limit.
@@ -68,8 +64,7 @@
         self._reads_heads = True
         self._lost = False
         self._paused = False
-        # Timer that ends a pause of parsing, or None.
-        self._parse_timer = None
+        self._turns = ParsingTurns()
         self._writable = None
         self._timer = None
         self._head_started_s = None
@@ -150,6 +145,7 @@
         """Parse bytes from the caller that are in the buffer."""
         self._last_activity_s = self._loop.time()
         if self._state is None:
+            # What follows the last request is ignored.
             return
         data = bytes(_receive_buffer[:nbytes])
         self._use.received(nbytes)
@@ -161,7 +157,8 @@
         except RuntimeError:
             self._transport.abort()
             return
-        self._parse()
+        if not self._turns.pending:
+            self._parse()
 
     def eof_received(self):
         """Fail the pending requests, as EOF counts as a disconnect."""
@@ -171,9 +168,8 @@
         """Fail the pending requests and unregister the connection."""
         self._lost = True
         self._fail_pending()
-        for timer in (self._timer, self._parse_timer):
-            if timer is not None:
-                timer.cancel()
+        if self._timer is not None:
+            self._timer.cancel()
         if self._writable is not None:
             self._writable.set()
         self._use.lost()
@@ -212,7 +208,8 @@
             if self._use.unparsed_bytes:
                 self._head_started_s = self._loop.time()
         self._paused = False
-        self._parse()
+        if not self._turns.pending:
+            self._parse()
 
     def resume_reading_ahead(self):
         """Read the next request if the connection has waited with it and may go on."""
@@ -256,7 +253,7 @@
     def close(self):
         """Close the connection after the buffered data is sent."""
         self._closing = True
-        self._state = None
+        self._stop_parsing()
         if not self._lost:
             self._transport.close()
 
@@ -268,7 +265,7 @@
     def _close_after(self, request):
         """Close the connection after a response and fail all later requests."""
         self._closing = True
-        self._state = None
+        self._stop_parsing()
         for later in self._pending:
             later.fail(CallerDisconnected())
         self._pending.clear()
@@ -281,9 +278,8 @@
         """Read no further request; the body of the present one is still read."""
         self._reads_heads = False
         if self._current is None or self._current.body_ended:
-            self._state = None
             self._head_started_s = None
-            self._use.parsed()
+            self._stop_parsing()
 
     def _close_when_read(self):
         """Close the connection after its caller, or ``LINGER_S`` after the last byte.
@@ -292,10 +288,9 @@
         caller has read the response. So what it has sent meanwhile is read and ignored.
         """
         self._closing = True
-        self._state = None
+        self._stop_parsing()
         if self._lost:
             return
-        self._transport.resume_reading()
         if self._transport.can_write_eof():
             self._transport.write_eof()
         self._loop.call_later(LINGER_S, self._end_linger)
@@ -310,7 +305,7 @@
 
     def _fail_pending(self):
         pending, self._pending = self._pending, collections.deque()
-        self._state = None
+        self._stop_parsing()
         for request in pending:
             request.fail(CallerDisconnected())
 
@@ -323,66 +318,58 @@
         if data:
             self._state.receive_data(data)
 
+    def _stop_parsing(self):
+        """Parse no further request; what the caller sends is read and ignored."""
+        self._state = None
+        self._turns.cancel()
+        self._use.parsed()
+        self._update_reading()
+
     def _parse(self):
-        if self._parse_timer is not None:
-            return
+        """Parse what was received; later what is left of it after one turn's work."""
         try:
-            if not self._process_events():
-                self._parse_timer = self._loop.call_later(
-                    PARSE_PAUSE_S, self._end_parse_pause
-                )
+            self._turns.run(self._may_parse, self._parse_next, self._parse)
         except h11.RemoteProtocolError as error:
             self._reject_malformed(error)
-        if self._state is None:
-            self._use.parsed()
         self._use.update()
         self._update_reading()
 
-    def _end_parse_pause(self):
-        self._parse_timer = None
-        if not self._lost:
-            self._parse()
+    def _may_parse(self):
+        return self._state is not None and not self._paused
 
-    def _process_events(self):
-        """Process what was received, up to ``EVENTS_PER_TURN``; return whether all was.
-
-        A body in tiny chunks would otherwise keep the whole process busy.
-        """
-        count = content_bytes = 0
-        while count < EVENTS_PER_TURN or content_bytes >= count * EVENT_BYTES_MIN:
-            if self._state is None or self._paused:
-                return True
-            event = self._state.next_event()
-            if event is h11.NEED_DATA or event is h11.PAUSED:
-                if self._current is not None:
-                    self._use.parsed()
-                return True
-            if isinstance(event, h11.Data):
-                content_bytes += len(event.data)
-            self._process_event(event)
-            count += 1
-        return False
+    def _parse_next(self):
+        """Process the next event of a request, as ParsingTurns asks for it."""
+        event = self._state.next_event()
+        if event is h11.NEED_DATA or event is h11.PAUSED:
+            if self._current is not None:
+                self._use.parsed()
+            return None
+        self._process_event(event)
+        return len(event.data) if isinstance(event, h11.Data) else 0
 
     def _update_reading(self):
-        """Read only what can be parsed, or has to be ignored before the end."""
         if self._lost:
             return
-        if self._may_read and self._parse_timer is None:
+        if self._may_read:
             self._transport.resume_reading()
         else:
             self._transport.pause_reading()
 
     @property
     def _may_read(self):
-        """Whether more of a request is wanted, or a disconnect can be noticed.
+        """Whether to read: more is wanted, or has to be ignored before the end.
 
-        The parser bounds a head by itself, and refuses one that is too large.
+        While requests wait for earlier ones, reading goes on for as long as little is
+        read ahead, so that their caller's disconnect is noticed. A head that is being
+        received is bounded by the parser.
         """
+        if self._state is None:
+            return True
+        if self._turns.pending:
+            return False
         if not self._paused:
             return True
-        # While requests wait, their caller's disconnect is noticed as long as it reads.
-        waits = self._current is None
-        return waits and self._use.unparsed_bytes < READ_BYTES
+        return self._current is None and self._use.unparsed_bytes < READ_BYTES
 
     def _process_event(self, event):
         if isinstance(event, h11.Request):
@@ -393,7 +380,7 @@
         elif isinstance(event, h11.EndOfMessage):
             self._process_end()
         elif isinstance(event, h11.ConnectionClosed):
-            self._state = None
+            self._stop_parsing()
 
     def _process_head(self, event):
         _check_head(event, self._owner.limits().head_bytes_max)
@@ -410,11 +397,9 @@
         state = self._state
         self._current.feed_body_end()
         trailing, _ = state.trailing_data
-        if state.their_state is not h11.DONE:
-            self._state = None
-            return
-        if not self._reads_heads or self._owner.reads_last:
-            self._state = None
+        is_last = not self._reads_heads or self._owner.reads_last
+        if state.their_state is not h11.DONE or is_last:
+            self._stop_parsing()
             return
         self._start_parsing(trailing)
         if not self._may_start_next():
@@ -435,7 +420,8 @@
         return len(self._pending) < PIPELINED_MAX and self.account.may_start_another
 
     def _reject_malformed(self, error):
-        state, self._state = self._state, None
+        state = self._state
+        self._stop_parsing()
         if self._current is not None and self._current in self._pending:
             self._current.fail(error)
             return
@@ -468,8 +454,9 @@
         now_s = self._loop.time()
         started_s = self._head_started_s
         if started_s is not None and now_s - started_s >= limits.head_timeout_s:
-            state, self._state = self._state, None
+            state = self._state
             if state is not None:
+                self._stop_parsing()
                 self._send_error(state, REQUEST_TIMEOUT)
         elif self._use.is_unread(now_s, limits.idle_timeout_s):
             self._owner.close_early(self, "responses-unread")
--- a/sesamespring/http/turns.py
+++ b/sesamespring/http/turns.py
@@ -14,24 +14,13 @@
 
 
 class ParsingTurns:
-    """Parses what one connection has received, a bounded number of events at a time.
+    """The turns in which one connection parses what it has received.
 
     While a turn is ``pending``, the connection must read nothing. None is pending once
     there is nothing to parse, not even if a message ends exactly where a turn does.
-
-    Args:
-        has_more: Function that returns whether the next event may be parsed.
-        parse_next: Function that parses the next event. It returns the bytes of a body
-            that the event has brought, or None if there was no event, as further bytes
-            must be received first.
-        resume: Function without arguments, called when a pending turn begins; it calls
-            ``run`` and decides again whether the connection reads.
     """
 
-    def __init__(self, has_more, parse_next, resume):
-        self._has_more = has_more
-        self._parse_next = parse_next
-        self._resume = resume
+    def __init__(self):
         # Timer of the next turn, or None.
         self._timer = None
 
@@ -40,20 +29,28 @@
         """Whether a turn is due, as the last one has not parsed all that it could."""
         return self._timer is not None
 
-    def run(self):
+    def run(self, may_parse, parse_next, resume):
         """Parse one turn's events, and let another turn follow if some are left.
 
+        Args:
+            may_parse: Function that returns whether the next event may be parsed.
+            parse_next: Function that parses the next event. It returns the bytes of a
+                body that the event has brought, or None if there was no event, as
+                further bytes must be received first.
+            resume: Function called when the next turn begins, if one follows; it calls
+                ``run`` and decides again whether the connection reads.
+
         Raises:
             h11.RemoteProtocolError: The peer violated the protocol.
         """
         self.cancel()
         count = content_bytes = 0
-        while self._has_more():
+        while may_parse():
             if count >= EVENTS_PER_TURN and content_bytes < count * EVENT_BYTES_MIN:
                 loop = asyncio.get_running_loop()
-                self._timer = loop.call_later(PAUSE_S, self._begin_next)
+                self._timer = loop.call_later(PAUSE_S, self._begin_next, resume)
                 return
-            event_bytes = self._parse_next()
+            event_bytes = parse_next()
             if event_bytes is None:
                 return
             count += 1
@@ -65,6 +62,6 @@
             self._timer.cancel()
             self._timer = None
 
-    def _begin_next(self):
+    def _begin_next(self, resume):
         self._timer = None
-        self._resume()
+        resume()
--- a/tests/http/test_caller_reading.py
+++ b/tests/http/test_caller_reading.py
@@ -1,12 +1,14 @@
 """Test that a caller's connection is read again after each pause, in each order."""
 
 import asyncio
+from unittest import mock
 
 import pytest
 
 from sesamespring.gateway.callers.caller_connections import CallerConnections
 from sesamespring.http.incoming import BODY_BUFFER_BYTES
-from sesamespring.http.pipeline import READ_BYTES, ServerLimits
+from sesamespring.http.pipeline import LINGER_S, PIPELINED_MAX, READ_BYTES, ServerLimits
+from sesamespring.http.turns import EVENTS_PER_TURN
 from tests.loopback import loopback_ip
 
 HOST = loopback_ip(0, 4)
@@ -114,3 +116,59 @@
         assert response.startswith(b"HTTP/1.1 431")
 
     run(scenario, respond)
+
+
+class Requests:
+    """Requests whose responses the test sends; their bodies are not taken."""
+
+    def __init__(self):
+        self.all = []
+
+    async def handle(self, incoming):
+        self.all.append(incoming)
+        await asyncio.Event().wait()
+
+    async def until(self, count):
+        while len(self.all) < count:
+            await asyncio.sleep(0.005)
+
+
+# The rest of an upload that was refused was not read to its end, as the timer of a turn
+# stopped it: its caller met a reset. A turn ends here where the buffer is full.
+@pytest.mark.parametrize("more_chunks", [-1, 0, 1])
+def test_refused_upload_is_read_although_its_buffer_was_full(more_chunks):
+    chunk = b"1f\r\n%s\r\n" % (b"x" * 31)
+    chunks = EVENTS_PER_TURN - 1 + more_chunks
+
+    async def scenario(connections, reader, writer):
+        writer.write(head("POST", "Transfer-Encoding: chunked") + chunk * (chunks + 9))
+        await asyncio.sleep(0.05)
+        writer.transport.set_write_buffer_limits(high=0)
+        writer.write(chunk * 500_000)
+        await asyncio.wait_for(writer.drain(), LINGER_S - 0.1)
+        assert (await reader.read()).startswith(b"HTTP/1.1 200")
+
+    name = "sesamespring.http.incoming.BODY_BUFFER_BYTES"
+    with mock.patch(name, chunks * 31):
+        run(scenario, respond)
+
+
+# A caller that leaves was not noticed while requests behind those in progress filled
+# what is read ahead, although they were not to be read any more.
+def test_caller_that_leaves_at_a_stop_is_noticed_behind_requests_sent_ahead():
+    requests = Requests()
+
+    async def scenario(connections, reader, writer):
+        large = head("GET", "X: " + "x" * 4000)
+        writer.write(large * (PIPELINED_MAX + 2 * READ_BYTES // len(large)))
+        await asyncio.sleep(0.1)
+        connections.stop()
+        connections.stop_accepting()
+        writer.transport.abort()
+        count = len(requests.all)
+        assert count > 1
+        while not all(request.disconnected for request in requests.all):
+            await asyncio.sleep(0.01)
+        assert len(requests.all) == count
+
+    run(scenario, requests.handle)
