Let only its reader resume the body of an upload

Seen: each response to an earlier request on the connection let a full body buffer grow by another read; 1.6 MB in place of 256 KB behind twenty requests. Not counted as memory of the caller beyond 512 KB.

Cause: the end of a response resumed whatever was paused, also a body whose buffer was full, which only its reader may resume.

Change: it resumes requests that wait to be read, and no body.

Evidence: test_upload_behind_other_requests_stays_within_its_buffer failed before with 1,633,226 bytes; it holds now.

--- a/sesamespring/http/pipeline.py
+++ b/sesamespring/http/pipeline.py
@@ -239,8 +239,7 @@
         if self.closing and not self._pending:
             self._close_when_read()
             return
-        if self._paused:
-            self.resume_body()
+        self.resume_reading_ahead()
 
     def close_announced(self):
         """Read no further request, as a response now says that the connection closes.
--- a/tests/http/test_caller_reading.py
+++ b/tests/http/test_caller_reading.py
@@ -172,3 +172,22 @@
         assert len(requests.all) == count
 
     run(scenario, requests.handle)
+
+
+# Each response to an earlier request let the full buffer of an upload grow.
+def test_upload_behind_other_requests_stays_within_its_buffer():
+    requests = Requests()
+    earlier = 20
+
+    async def scenario(connections, reader, writer):
+        writer.write(head("GET") * earlier)
+        writer.write(head("POST", "Content-Length: 10000000") + b"x" * 5_000_000)
+        await requests.until(earlier + 1)
+        await asyncio.sleep(0.1)
+        for request in requests.all[:earlier]:
+            request.send_whole(200, [], b"")
+            await asyncio.sleep(0.005)
+        upload = requests.all[earlier]
+        assert upload._body_bytes < BODY_BUFFER_BYTES + READ_BYTES
+
+    run(scenario, requests.handle)
