Search for messages and orders after which a connection is not read

tests/http/test_reading_search.py draws exchanges of a Channel and pipelined uploads of a caller on real sockets: sizes at, below and above turns of parsing, buffers and reads, segments, and delays before a body is taken, a response sent or the next exchange begun. What comes out must be what went in, and a connection without an exchange must read.

--- /dev/null
+++ b/tests/http/test_reading_search.py
@@ -0,0 +1,261 @@
+"""Search for messages and orders of events after which a connection is not read again.
+
+Sizes are drawn around each bound of the code: turns of parsing, buffers, what is read
+at a time. ``HYPOTHESIS_PROFILE=search`` searches longer.
+"""
+
+import asyncio
+import contextlib
+import hashlib
+import socket
+from unittest import mock
+
+import attrs
+import h11
+from hypothesis import given
+from hypothesis import strategies as st
+
+from sesamespring.gateway.callers.caller_connections import CallerConnections
+from sesamespring.http.channel import READ_BUFFER_BYTES, Channel
+from sesamespring.http.incoming import BODY_BUFFER_BYTES
+from sesamespring.http.pipeline import READ_BYTES, CallerConnection
+from sesamespring.http.turns import EVENTS_PER_TURN
+
+TIMEOUT_S = 5.0
+# Shorter than in service, so that more examples fit; longer than a turn of the loop.
+TURN_PAUSE_S = 0.001
+SOCKET_BUFFER_BYTES = 4 * 1024 * 1024
+
+
+def around(*bounds):
+    """Return a strategy for numbers at and beside multiples of bounds."""
+    numbers = [k * b + more for b in bounds for k in (1, 2) for more in (-2, -1, 0, 1)]
+    return st.sampled_from(numbers)
+
+
+# In chunks of one byte a turn ends by its events; without chunks, by what is read.
+chunk_counts = st.one_of(st.integers(0, 200), around(EVENTS_PER_TURN, EVENTS_PER_TURN))
+body_sizes = st.one_of(
+    st.integers(0, 2000), around(READ_BYTES, READ_BUFFER_BYTES, BODY_BUFFER_BYTES)
+)
+delays_s = st.sampled_from([0.0, TURN_PAUSE_S / 2, 3 * TURN_PAUSE_S])
+# Sizes of the segments that a message is sent in, in turn; none means one segment.
+segments = st.lists(st.integers(1, 100_000), max_size=4)
+
+
+@attrs.frozen
+class Body:
+    """The body of a message.
+
+    Attributes:
+        content: The body.
+        chunk_bytes: Size of its chunks, or 0 if its length is stated.
+    """
+
+    content: bytes = attrs.field(repr=lambda content: f"<{len(content)} bytes>")
+    chunk_bytes: int
+
+    @property
+    def field(self):
+        if self.chunk_bytes:
+            return b"Transfer-Encoding: chunked\r\n\r\n"
+        return b"Content-Length: %d\r\n\r\n" % len(self.content)
+
+    @property
+    def framed(self):
+        if not self.chunk_bytes:
+            return self.content
+        starts = range(0, len(self.content), self.chunk_bytes)
+        pieces = [self.content[i : i + self.chunk_bytes] for i in starts]
+        return b"".join(b"%x\r\n%s\r\n" % (len(p), p) for p in pieces) + b"0\r\n\r\n"
+
+
+def in_tiny_chunks(count, chunk_bytes):
+    return Body(b"x" * count * chunk_bytes, chunk_bytes)
+
+
+bodies = st.one_of(
+    st.builds(in_tiny_chunks, chunk_counts, st.sampled_from([1, 5, 31])),
+    st.builds(
+        lambda size, chunk_bytes: Body(b"y" * size, chunk_bytes),
+        body_sizes,
+        st.sampled_from([0, 5000, READ_BYTES, 100_000]),
+    ),
+)
+
+
+def connected_sockets(stack):
+    """Return two connected sockets with room for whole messages."""
+    pair = socket.socketpair()
+    for sock in pair:
+        stack.callback(sock.close)
+        sock.setblocking(False)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SOCKET_BUFFER_BYTES)
+    return pair
+
+
+async def send(sock, message, sizes):
+    """Send a message in segments of these sizes, the rest in one."""
+    loop = asyncio.get_running_loop()
+    for size in sizes:
+        await loop.sock_sendall(sock, message[:size])
+        message = message[size:]
+        await asyncio.sleep(0)
+    await loop.sock_sendall(sock, message)
+
+
+def run(scenario):
+    async def main():
+        async with contextlib.AsyncExitStack() as stack:
+            await stack.enter_async_context(asyncio.timeout(TIMEOUT_S))
+            await scenario(stack)
+
+    with mock.patch("sesamespring.http.turns.PAUSE_S", TURN_PAUSE_S):
+        asyncio.run(main())
+
+
+@attrs.frozen
+class Exchange:
+    """An exchange of a Channel.
+
+    Attributes:
+        body: The Body of the response.
+        segments: Sizes of its segments.
+        limit: What is read whole, in bytes; a longer body is read in parts.
+        take_after_s: Time before the body is taken.
+        idle_s: Time before the next exchange.
+    """
+
+    body: Body
+    segments: list
+    limit: int
+    take_after_s: float
+    idle_s: float
+
+
+exchanges = st.builds(
+    Exchange, bodies, segments, st.sampled_from([0, 100, 10**7]), delays_s, delays_s
+)
+
+
+async def take_response(channel, exchange):
+    await channel.receive_head()
+    await asyncio.sleep(exchange.take_after_s)
+    body = await channel.read_body(exchange.limit)
+    if body is None:
+        body = b"".join([piece async for piece in channel.iter_body()])
+    return body
+
+
+# A response was never read, as the one before it had ended with a turn (review/8).
+@given(st.lists(exchanges, min_size=2, max_size=4))
+def test_channel_reads_each_response_and_reads_while_idle(drawn):
+    async def scenario(stack):
+        near, far = connected_sockets(stack)
+        loop = asyncio.get_running_loop()
+        transport, channel = await loop.create_connection(Channel, sock=near)
+        stack.callback(channel.abort)
+        for exchange in drawn:
+            channel.send_head("GET", "/", [("Host", "h")])
+            channel.send_end()
+            await loop.sock_recv(far, READ_BYTES)
+            response = b"HTTP/1.1 200 OK\r\n" + exchange.body.field
+            message = response + exchange.body.framed
+            sending = asyncio.ensure_future(send(far, message, exchange.segments))
+            assert await take_response(channel, exchange) == exchange.body.content
+            await sending
+            assert channel.reusable
+            channel.finish(0.0)
+            await asyncio.sleep(exchange.idle_s)
+            assert channel.usable
+            assert transport.is_reading()
+        far.close()
+        while channel.usable:
+            await asyncio.sleep(0)
+
+    run(scenario)
+
+
+@attrs.frozen
+class Call:
+    """A request of a caller.
+
+    Attributes:
+        body: The Body of the request.
+        segments: Sizes of its segments.
+        take_after_s: Time before its body is taken.
+        response_bytes: Size of the response behind what says the size of the body.
+        response_after_s: Time before its response is sent.
+    """
+
+    body: Body
+    segments: list
+    take_after_s: float
+    response_bytes: int
+    response_after_s: float
+
+
+calls = st.builds(Call, bodies, segments, delays_s, body_sizes, delays_s)
+
+
+def digest(body):
+    return hashlib.blake2b(body, digest_size=8).hexdigest().encode()
+
+
+async def read_bodies(sock, count):
+    """Return the bodies of so many responses."""
+    loop = asyncio.get_running_loop()
+    received = b""
+    contents = []
+    while len(contents) < count:
+        state = h11.Connection(h11.CLIENT)
+        state.send(h11.Request(method="GET", target="/", headers=[("Host", "h")]))
+        state.send(h11.EndOfMessage())
+        if received:
+            state.receive_data(received)
+        content = b""
+        while not isinstance(event := state.next_event(), h11.EndOfMessage):
+            if event is h11.NEED_DATA:
+                state.receive_data(await loop.sock_recv(sock, READ_BYTES))
+            elif isinstance(event, h11.Data):
+                content += bytes(event.data)
+        contents.append(content)
+        received = state.trailing_data[0]
+    return contents
+
+
+# An upload had no end, as its last bytes had filled the buffer.
+@given(st.lists(calls, min_size=1, max_size=5), delays_s)
+def test_caller_gets_each_response_in_order_and_is_read_while_idle(drawn, read_after_s):
+    async def handle(incoming):
+        call = drawn[int(incoming.target[1:])]
+        await asyncio.sleep(call.take_after_s)
+        body = b"".join([piece async for piece in incoming.iter_body()])
+        await asyncio.sleep(call.response_after_s)
+        incoming.send_whole(200, [], digest(body) + b"z" * call.response_bytes)
+
+    async def send_all(sock):
+        for number, call in enumerate(drawn):
+            line = b"POST /%d HTTP/1.1\r\nHost: h\r\n" % number
+            message = line + call.body.field + call.body.framed
+            await send(sock, message, call.segments)
+
+    async def scenario(stack):
+        near, far = connected_sockets(stack)
+        connections = CallerConnections(handle, 1)
+        stack.callback(connections.close)
+        loop = asyncio.get_running_loop()
+        transport, _ = await loop.connect_accepted_socket(
+            lambda: CallerConnection(connections), near
+        )
+        sending = asyncio.ensure_future(send_all(far))
+        await asyncio.sleep(read_after_s)
+        received = await read_bodies(far, len(drawn))
+        await sending
+        expected = [digest(c.body.content) + b"z" * c.response_bytes for c in drawn]
+        assert received == expected
+        await asyncio.sleep(2 * TURN_PAUSE_S)
+        assert transport.is_reading()
+        assert not connections.in_progress
+
+    run(scenario)
