--- a/sesamespring/http/turns.py
+++ b/sesamespring/http/turns.py
@@ -16,8 +16,9 @@
 class ParsingTurns:
     """The turns in which one connection parses what it has received.
 
-    While a turn is ``pending``, the connection must read nothing. None is pending once
-    there is nothing to parse, not even if a message ends exactly where a turn does.
+    While a turn is ``pending``, the connection must read nothing. None becomes pending
+    where the owner parses no further, also if a message ends exactly with a turn; an
+    owner that stops parsing later cancels it.
     """
 
     def __init__(self):
