Let targets of the soak divide responses into chunks at the ends of turns

Now each draws for each response whether it states the length or sends 61, 62, 63 or 126 chunks. The body has a fixed padding, which the check on whole responses includes.

--- a/soak/caller_promises.py
+++ b/soak/caller_promises.py
@@ -7,6 +7,7 @@
 import collections
 
 from soak.breach import Breach, store_and_vm_undisturbed
+from soak.cluster import RESPONSE_PADDING
 from soak.load import CONNECTION_CLOSED, TIMEOUT_S
 
 __all__ = ["LINKS_LOST", "check_callers"]
@@ -87,13 +88,14 @@
         Breach("whole-answer", f"{call}")
         for call in calls
         if call.status == 200
-        and (
-            call.body != b"answer to " + call.request_id.encode()
-            or not runs[call.request_id]
-        )
+        and (call.body != _whole_body(call) or not runs[call.request_id])
     ]
 
 
+def _whole_body(call):
+    return b"answer to " + call.request_id.encode() + RESPONSE_PADDING
+
+
 def _check_graceful_stop(cluster, calls, runs):
     """Return Breaches for requests that ran but got no response.
 
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -5,6 +5,7 @@
 import enum
 import itertools
 import os
+import random
 import time
 
 from soak.accounts import accounts_of
@@ -23,7 +24,7 @@
 from standins.platform_target import PlatformTarget
 from standins.store import FakeStore
 
-__all__ = ["HOST", "Cluster"]
+__all__ = ["HOST", "RESPONSE_PADDING", "Cluster"]
 
 HOST = "soak.example"
 DATA_CENTRES = ("dc-a", "dc-b", "dc-c")
@@ -32,6 +33,11 @@
 TARGETS_PER_SERVICE = 4
 SLOTS = 2
 SERVICE_TIME_S = 0.03
+# Into how many chunks a target divides a response: a turn of parsing at the VMs ends
+# just before the response, with it (62, 126) or behind it. 0: it states the length.
+CHUNK_COUNTS = (0, 0, 61, 62, 63, 126)
+# So that each chunk has at least one byte.
+RESPONSE_PADDING = b"." * max(CHUNK_COUNTS)
 # Length of a cold start, and the rate of requests that a cold target can take.
 COLD_START_S = 3.0
 COLD_PER_S = 6.7
@@ -251,6 +257,9 @@
         number = next(self._target_numbers)
         server = PlatformTarget(f"t{number}", SERVICE_TIME_S, SLOTS)
         server.cold_left_ms = int(cold_s * 1000)
+        server.padding = RESPONSE_PADDING
+        chunk_counts = random.Random(number)
+        server.choose_chunk_count = lambda: chunk_counts.choice(CHUNK_COUNTS)
         port = TARGETS_PORT + address_index
         server_address = (self._ip(Subnet.TARGETS, number % 250), port)
         await server.start(*server_address)
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import socket
 import struct
 import time
@@ -100,6 +101,9 @@
             in ms; 0 when it is warm.
         slowdown: Slowdown that it reports in its load header, in percent.
         padding: Bytes at the end of the body of each response.
+        choose_chunk_count: Function without arguments that is called for each correct
+            response and returns into how many chunks its body is divided, or 0 if its
+            length is stated.
         leaving: Whether it states in each response that it is leaving.
         limit_per_s: Limit on requests per second that it states in each response, as
             the text of a decimal number, or None.
@@ -135,6 +139,7 @@
         self.cold_left_ms = 0
         self.slowdown = 100
         self.padding = b""
+        self.choose_chunk_count = lambda: 0
         self.leaving = False
         self.limit_per_s = None
         self.busy_s = None
@@ -340,7 +345,7 @@
         if fault == "close":
             await self._send(writer, 200, body, {**signature, "Connection": "close"})
             return False
-        await self._send(writer, 200, body, signature)
+        await self._send(writer, 200, body, signature, self.choose_chunk_count())
         if fault == "extra":
             await self._send(writer, 200, b"extra", signature)
         if fault == "late-copy":
@@ -361,10 +366,14 @@
             "Sesamespring-Server-Stamp": f"signed-by-{self.id}",
         }
 
-    async def _send(self, writer, status, body, headers):
+    async def _send(self, writer, status, body, headers, chunk_count=0):
         load = f"{self._running},0,{self.slots},{self.slowdown}"
+        framing = {"Content-Length": str(len(body))}
+        if chunk_count:
+            framing = {"Transfer-Encoding": "chunked"}
+            body = _in_chunks(body, chunk_count)
         all_headers = {
-            "Content-Length": str(len(body)),
+            **framing,
             "Sesamespring-Server-Load": load,
             "Keep-Alive": "timeout=10",
             **headers,
@@ -384,6 +393,14 @@
         await writer.drain()
 
 
+def _in_chunks(body, count):
+    """Return a body in so many chunks of about the same size, with their framing."""
+    starts = [len(body) * number // count for number in range(count + 1)]
+    chunks = [body[start:end] for start, end in itertools.pairwise(starts)]
+    framed = [b"%x\r\n%s\r\n" % (len(chunk), chunk) for chunk in chunks if chunk]
+    return b"".join(framed) + b"0\r\n\r\n"
+
+
 async def _read_body(reader, request_headers):
     if request_headers.get("transfer-encoding") != "chunked":
         return await reader.readexactly(int(request_headers.get("content-length", 0)))
