Search for stops that lose a request which was handled

The third search stops the connections at a drawn moment among pipelined uploads of drawn sizes: each request that was handled is answered whole, in order, and the connection ends.

It finds nothing on this code.

--- a/tests/http/test_reading_search.py
+++ b/tests/http/test_reading_search.py
@@ -24,6 +24,7 @@
 TIMEOUT_S = 5.0
 # Shorter than in service, so that more examples fit; longer than a turn of the loop.
 TURN_PAUSE_S = 0.001
+IDLE_AFTER_S = 0.02
 SOCKET_BUFFER_BYTES = 4 * 1024 * 1024
 
 
@@ -110,7 +111,11 @@
             await stack.enter_async_context(asyncio.timeout(TIMEOUT_S))
             await scenario(stack)
 
-    with mock.patch("sesamespring.http.turns.PAUSE_S", TURN_PAUSE_S):
+    connections = "sesamespring.gateway.callers.caller_connections"
+    with (
+        mock.patch("sesamespring.http.turns.PAUSE_S", TURN_PAUSE_S),
+        mock.patch(f"{connections}.IDLE_AFTER_S", IDLE_AFTER_S),
+    ):
         asyncio.run(main())
 
 
@@ -202,26 +207,34 @@
     return hashlib.blake2b(body, digest_size=8).hexdigest().encode()
 
 
-async def read_bodies(sock, count):
-    """Return the bodies of so many responses."""
+async def read_responses(sock):
+    """Yield the bodies of the responses until the connection ends."""
     loop = asyncio.get_running_loop()
-    received = b""
-    contents = []
-    while len(contents) < count:
+    received = await loop.sock_recv(sock, READ_BYTES)
+    while received:
         state = h11.Connection(h11.CLIENT)
         state.send(h11.Request(method="GET", target="/", headers=[("Host", "h")]))
         state.send(h11.EndOfMessage())
-        if received:
-            state.receive_data(received)
+        state.receive_data(received)
         content = b""
         while not isinstance(event := state.next_event(), h11.EndOfMessage):
             if event is h11.NEED_DATA:
                 state.receive_data(await loop.sock_recv(sock, READ_BYTES))
             elif isinstance(event, h11.Data):
                 content += bytes(event.data)
-        contents.append(content)
-        received = state.trailing_data[0]
-    return contents
+        yield content
+        received = state.trailing_data[0] or await loop.sock_recv(sock, READ_BYTES)
+
+
+async def read_bodies(sock, count):
+    """Return the bodies of so many responses."""
+    responses = read_responses(sock)
+    return [await anext(responses) for _ in range(count)]
+
+
+async def read_until_end(sock):
+    """Return the bodies of all responses until the connection ends."""
+    return [content async for content in read_responses(sock)]
 
 
 # An upload had no end, as its last bytes had filled the buffer.
@@ -259,3 +272,49 @@
         assert not connections.in_progress
 
     run(scenario)
+
+
+# At a stop each request that was handled is answered whole, and the connection ends.
+@given(st.lists(calls, min_size=1, max_size=5), delays_s, delays_s, delays_s)
+def test_stop_loses_no_request_that_was_handled(drawn, stop_s, last_s, read_after_s):
+    handled = []
+
+    async def handle(incoming):
+        call = drawn[int(incoming.target[1:])]
+        handled.append(call)
+        await asyncio.sleep(call.take_after_s)
+        body = b"".join([piece async for piece in incoming.iter_body()])
+        await asyncio.sleep(call.response_after_s)
+        incoming.send_whole(200, [], digest(body) + b"z" * call.response_bytes)
+
+    async def send_all(sock):
+        for number, call in enumerate(drawn):
+            line = b"POST /%d HTTP/1.1\r\nHost: h\r\n" % number
+            message = line + call.body.field + call.body.framed
+            with contextlib.suppress(OSError):
+                await send(sock, message, call.segments)
+
+    async def stop(connections):
+        await asyncio.sleep(stop_s)
+        connections.stop()
+        await asyncio.sleep(last_s)
+        connections.stop_accepting()
+        while connections.active:
+            await asyncio.sleep(TURN_PAUSE_S)
+        connections.close_idle()
+
+    async def scenario(stack):
+        near, far = connected_sockets(stack)
+        connections = CallerConnections(handle, 1)
+        stack.callback(connections.close)
+        loop = asyncio.get_running_loop()
+        await loop.connect_accepted_socket(lambda: CallerConnection(connections), near)
+        sending = asyncio.ensure_future(send_all(far))
+        stopping = asyncio.ensure_future(stop(connections))
+        await asyncio.sleep(read_after_s)
+        received = await read_until_end(far)
+        await asyncio.gather(sending, stopping)
+        expected = [digest(c.body.content) + b"z" * c.response_bytes for c in handled]
+        assert received == expected
+
+    run(scenario)
