--- a/tests/http/test_channel_reuse.py
+++ b/tests/http/test_channel_reuse.py
@@ -1,6 +1,7 @@
 """Test that a Channel reads between two exchanges, wherever the first one has ended."""
 
 import asyncio
+import contextlib
 import socket
 import struct
 
@@ -46,22 +47,36 @@
             writer.write(response)
 
     async def main():
-        async def serve_quietly(reader, writer):
-            try:
-                await serve(reader, writer)
-            except (OSError, asyncio.IncompleteReadError):
-                pass
+        async with serving(serve) as address:
+            channel = await open_channel(address, 1.0)
+            async with asyncio.timeout(TIMEOUT_S):
+                await scenario(channel)
+            channel.abort()
+
+    asyncio.run(main())
+
+
+@contextlib.asynccontextmanager
+async def serving(serve):
+    """Serve connections by ``serve(reader, writer)`` until they end; yield the address.
+
+    No connection outlives the loop.
+    """
+
+    async def serve_until_end(reader, writer):
+        try:
+            await serve(reader, writer)
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        finally:
             writer.transport.abort()
 
-        server = await asyncio.start_server(serve_quietly, HOST, 0)
-        channel = await open_channel(server.sockets[0].getsockname(), 1.0)
-        async with asyncio.timeout(TIMEOUT_S):
-            await scenario(channel)
-        channel.abort()
+    server = await asyncio.start_server(serve_until_end, HOST, 0)
+    try:
+        yield server.sockets[0].getsockname()
+    finally:
         server.close()
 
-    asyncio.run(main())
-
 
 async def exchange(channel):
     """Make one exchange and return the body of the response."""
@@ -152,20 +167,16 @@
 
 # The client of the store keeps one connection, which went deaf alike.
 def test_store_is_read_behind_an_object_that_ends_with_a_turn():
+    async def serve(reader, writer):
+        while await reader.readuntil(b"\r\n\r\n"):
+            writer.write(chunked(FULL_TURN))
+
     async def main():
-        async def serve(reader, writer):
-            try:
-                while await reader.readuntil(b"\r\n\r\n"):
-                    writer.write(chunked(FULL_TURN))
-            except (OSError, asyncio.IncompleteReadError):
-                writer.transport.abort()
-
-        server = await asyncio.start_server(serve, HOST, 0)
-        client = StoreClient(server.sockets[0].getsockname(), 0.5)
-        for _ in range(3):
-            assert await client.get_object("a key") == b"x" * FULL_TURN
-            await asyncio.sleep(0.03)
-        client.close()
-        server.close()
+        async with serving(serve) as address:
+            client = StoreClient(address, 0.5)
+            for _ in range(3):
+                assert await client.get_object("a key") == b"x" * FULL_TURN
+                await asyncio.sleep(0.03)
+            client.close()
 
     asyncio.run(main())
--- a/tests/http/test_reading_search.py
+++ b/tests/http/test_reading_search.py
@@ -12,6 +12,7 @@
 
 import attrs
 import h11
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -181,6 +182,43 @@
     run(scenario)
 
 
+# A response that only the end of its connection ends is whole, and one that is cut off
+# is an error, wherever a turn or a buffer ends; neither is waited for.
+@given(exchanges, st.booleans(), st.integers(0, 16))
+def test_channel_sees_the_end_of_a_last_response(exchange, is_cut, interims):
+    async def scenario(stack):
+        near, far = connected_sockets(stack)
+        loop = asyncio.get_running_loop()
+        _, channel = await loop.create_connection(Channel, sock=near)
+        stack.callback(channel.abort)
+        channel.send_head("GET", "/", [("Host", "h")])
+        channel.send_end()
+        await loop.sock_recv(far, READ_BYTES)
+        head = b"HTTP/1.1 100 Continue\r\n\r\n" * interims + b"HTTP/1.1 200 OK\r\n"
+        if is_cut:
+            message = head + exchange.body.field + exchange.body.framed
+            message = message[:-1] if exchange.body.framed else message[:-2]
+        else:
+            message = head + b"\r\n" + exchange.body.content
+
+        async def send_and_close():
+            await send(far, message, exchange.segments)
+            far.close()
+
+        sending = asyncio.ensure_future(send_and_close())
+        if is_cut:
+            with pytest.raises((ConnectionError, h11.RemoteProtocolError)):
+                await take_response(channel, exchange)
+        else:
+            assert await take_response(channel, exchange) == exchange.body.content
+        await sending
+        while not channel.failed:
+            await asyncio.sleep(0)
+        assert not channel.reusable
+
+    run(scenario)
+
+
 @attrs.frozen
 class Call:
     """A request of a caller.
