--- a/tests/http/test_reading_search.py
+++ b/tests/http/test_reading_search.py
@@ -275,36 +275,62 @@
     return [content async for content in read_responses(sock)]
 
 
-# An upload had no end, as its last bytes had filled the buffer.
-@given(st.lists(calls, min_size=1, max_size=5), delays_s)
-def test_caller_gets_each_response_in_order_and_is_read_while_idle(drawn, read_after_s):
-    async def handle(incoming):
-        call = drawn[int(incoming.target[1:])]
+class Caller:
+    """A caller that makes drawn Calls on one connection, and what answers them.
+
+    Args:
+        drawn: List of Call.
+
+    Attributes:
+        expected: Bodies of the responses to the requests that were handled.
+    """
+
+    def __init__(self, drawn):
+        self.expected = []
+        self._drawn = drawn
+
+    async def handle(self, incoming):
+        """Respond to an IncomingRequest as its Call says."""
+        call = self._drawn[int(incoming.target[1:])]
+        padding = b"z" * call.response_bytes
+        self.expected.append(digest(call.body.content) + padding)
         await asyncio.sleep(call.take_after_s)
         body = b"".join([piece async for piece in incoming.iter_body()])
         await asyncio.sleep(call.response_after_s)
-        incoming.send_whole(200, [], digest(body) + b"z" * call.response_bytes)
+        incoming.send_whole(200, [], digest(body) + padding)
 
-    async def send_all(sock):
-        for number, call in enumerate(drawn):
+    async def send_all(self, sock):
+        """Send all requests, or those that are taken before the connection ends."""
+        for number, call in enumerate(self._drawn):
             line = b"POST /%d HTTP/1.1\r\nHost: h\r\n" % number
             message = line + call.body.field + call.body.framed
-            await send(sock, message, call.segments)
+            with contextlib.suppress(OSError):
+                await send(sock, message, call.segments)
+
+
+async def accept(stack, handle):
+    """Return a new CallerConnections, a connection's transport and its other socket."""
+    near, far = connected_sockets(stack)
+    connections = CallerConnections(handle, 1)
+    stack.callback(connections.close)
+    transport, _ = await asyncio.get_running_loop().connect_accepted_socket(
+        lambda: CallerConnection(connections), near
+    )
+    return connections, transport, far
+
+
+# An upload had no end, as its last bytes had filled the buffer.
+@given(st.lists(calls, min_size=1, max_size=5), delays_s)
+def test_caller_gets_each_response_in_order_and_is_read_while_idle(drawn, read_after_s):
+    caller = Caller(drawn)
 
     async def scenario(stack):
-        near, far = connected_sockets(stack)
-        connections = CallerConnections(handle, 1)
-        stack.callback(connections.close)
-        loop = asyncio.get_running_loop()
-        transport, _ = await loop.connect_accepted_socket(
-            lambda: CallerConnection(connections), near
-        )
-        sending = asyncio.ensure_future(send_all(far))
+        connections, transport, far = await accept(stack, caller.handle)
+        sending = asyncio.ensure_future(caller.send_all(far))
         await asyncio.sleep(read_after_s)
         received = await read_bodies(far, len(drawn))
         await sending
-        expected = [digest(c.body.content) + b"z" * c.response_bytes for c in drawn]
-        assert received == expected
+        assert received == caller.expected
         await asyncio.sleep(2 * TURN_PAUSE_S)
         assert transport.is_reading()
         assert not connections.in_progress
@@ -315,22 +341,7 @@
 # At a stop each request that was handled is answered whole, and the connection ends.
 @given(st.lists(calls, min_size=1, max_size=5), delays_s, delays_s, delays_s)
 def test_stop_loses_no_request_that_was_handled(drawn, stop_s, last_s, read_after_s):
-    handled = []
-
-    async def handle(incoming):
-        call = drawn[int(incoming.target[1:])]
-        handled.append(call)
-        await asyncio.sleep(call.take_after_s)
-        body = b"".join([piece async for piece in incoming.iter_body()])
-        await asyncio.sleep(call.response_after_s)
-        incoming.send_whole(200, [], digest(body) + b"z" * call.response_bytes)
-
-    async def send_all(sock):
-        for number, call in enumerate(drawn):
-            line = b"POST /%d HTTP/1.1\r\nHost: h\r\n" % number
-            message = line + call.body.field + call.body.framed
-            with contextlib.suppress(OSError):
-                await send(sock, message, call.segments)
+    caller = Caller(drawn)
 
     async def stop(connections):
         await asyncio.sleep(stop_s)
@@ -342,17 +353,12 @@
         connections.close_idle()
 
     async def scenario(stack):
-        near, far = connected_sockets(stack)
-        connections = CallerConnections(handle, 1)
-        stack.callback(connections.close)
-        loop = asyncio.get_running_loop()
-        await loop.connect_accepted_socket(lambda: CallerConnection(connections), near)
-        sending = asyncio.ensure_future(send_all(far))
+        connections, _, far = await accept(stack, caller.handle)
+        sending = asyncio.ensure_future(caller.send_all(far))
         stopping = asyncio.ensure_future(stop(connections))
         await asyncio.sleep(read_after_s)
         received = await read_until_end(far)
         await asyncio.gather(sending, stopping)
-        expected = [digest(c.body.content) + b"z" * c.response_bytes for c in handled]
-        assert received == expected
+        assert received == caller.expected
 
     run(scenario)
