--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -84,6 +84,31 @@
     run_scenario(scenario)
 
 
+# After a response of 62 or 126 chunks the next unsafe request on the connection ran,
+# and its response was never read (LOST), also where another VM sends it.
+@pytest.mark.parametrize("is_relayed", [False, True])
+@pytest.mark.parametrize("chunk_count", [61, 62, 63, 126])
+def test_requests_are_answered_behind_responses_in_chunks(chunk_count, is_relayed):
+    async def scenario(cluster):
+        ip = cluster.ips[0]
+        for target in cluster.targets:
+            target.padding = b"." * chunk_count
+            target.choose_chunk_count = lambda: chunk_count
+        if is_relayed:
+            cluster.cut_from_targets(ip, "reset")
+            await asyncio.sleep(1.0)
+        for number in range(6):
+            response = await cluster.call(
+                ip, f"r{number}", path=f"/write/{number}", method="POST", body=b"x"
+            )
+            assert response.status == 200
+            assert response.body == b"answer to r%d" % number + b"." * chunk_count
+            await asyncio.sleep(0.05)
+        assert sorted(cluster.runs) == [f"r{number}" for number in range(6)]
+
+    run_scenario(scenario, vms=2 if is_relayed else 1)
+
+
 # It waits for a slot, so its rest fills the buffer: its target never got the last
 # chunk, and its caller no answer in time.
 @pytest.mark.parametrize("more_bytes", [-1000, -1, 0, 1, 1000])
