Let the tests of the soak's checks use responses as its targets send them

Cause: made the soak's targets send a padded body, and the check of whole responses ask for it.

Change: the tests' calls have the padded body. Nothing is asked for less: the response to another request differs by its id alone, as before, and a new test shows that a body which lacks its last byte is found.

--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from soak.cluster import RESPONSE_PADDING
 from soak.disturbances import STORE, DisturbanceLog
 from soak.load import Call
 from soak.promises import check_promises, check_recovery
@@ -11,6 +12,11 @@
 from standins.platform_target import Arrival, ReceivedRequest
 
 
+def response_to(request_id):
+    """Return the whole body with which a target of the soak answers a request."""
+    return b"answer to " + request_id.encode() + RESPONSE_PADDING
+
+
 def target(name="t1", **fields):
     server = types.SimpleNamespace(id=name, arrivals=[], received=[], health_checks=[])
     defaults = {
@@ -53,7 +59,7 @@
         "sent_s": 10.0,
         "ended_s": 10.1,
         "status": 200,
-        "body": b"answer to r1",
+        "body": response_to("r1"),
     }
     return Call(request_id, **{**defaults, **fields})
 
@@ -83,11 +89,16 @@
 
 
 def test_detects_an_answer_to_another_request():
-    wrong = call(body=b"answer to r2")
+    wrong = call(body=response_to("r2"))
     assert "whole-answer" in broken_promises(cluster(run_at(target())), wrong)
     assert "whole-answer" in broken_promises(cluster(target()), call())
 
 
+def test_detects_an_answer_without_its_end():
+    shortened = call(body=response_to("r1")[:-1])
+    assert "whole-answer" in broken_promises(cluster(run_at(target())), shortened)
+
+
 def test_detects_a_request_that_a_planned_stop_cut():
     fake_target = run_at(target())
     faulty_cluster = cluster(fake_target)
@@ -140,7 +151,7 @@
 
 
 def test_detects_a_configuration_that_is_late_or_reverts():
-    probe = {"path": "/tag-1/1", "idempotent": True, "body": b"answer to r1"}
+    probe = {"path": "/tag-1/1", "idempotent": True, "body": response_to("r1")}
     late = call(status=404, **probe)
     assert "in-force" in broken_promises(cluster(target()), late)
     first = call(sent_s=0.5, ended_s=0.6, **probe)
