Search what callers are promised of requests that are forwarded

Change: bin/search forwarding plays requests through the product's RequestForwarder, Attempt and connection pool, on simulated TCP, to targets that answer each attempt as drawn: well, with failures and rejections, early, cut off, without a length, slowly or not at all. It checks that each gets its final answer in time, whole and its own, that an unsafe request runs once at most, and that none that has run is told that it has not.

--- a/search/callers.py
+++ b/search/callers.py
@@ -5,12 +5,12 @@
 import itertools
 
 import attrs
-import h11
 from hypothesis import strategies as st
 
 from search import clock
 from search.link import Link, LinkShape
 from search.messages import Body, bodies, body_sizes, delays_s, digest, links
+from search.responses import read_responses
 from sesamespring.gateway.callers.caller_connections import CallerConnections
 from sesamespring.http.incoming import BODY_BUFFER_BYTES, CallerDisconnected
 from sesamespring.http.pipeline import READ_BYTES, CallerConnection, ServerLimits
@@ -265,24 +265,9 @@
 
     def _complete(self):
         """Return the complete responses that the caller has read."""
-        received = bytes(self._link.peer.received)
-        requests = iter(self._drawn.requests)
-        complete = []
-        while received and (request := next(requests, None)):
-            state = h11.Connection(h11.CLIENT)
-            method = request.method.decode("ascii")
-            state.send(h11.Request(method=method, target="/", headers=[("Host", "h")]))
-            state.send(h11.EndOfMessage())
-            state.receive_data(received)
-            if self._link.peer.at_end:
-                with contextlib.suppress(RuntimeError):
-                    state.receive_data(b"")
-            response = _read_response(state)
-            if response is None:
-                break
-            complete.append(response)
-            received = state.trailing_data[0]
-        return complete
+        peer = self._link.peer
+        methods = [request.method for request in self._drawn.requests]
+        return read_responses(bytes(peer.received), methods, peer.at_end)
 
     def _check_responses(self):
         """Check what has come against what was handled, and must be answered."""
@@ -329,22 +314,3 @@
                 incoming.send_data(content[start : start + size])
             await incoming.drain()
     incoming.send_end()
-
-
-def _read_response(state):
-    """Return the status and body of a response, or None if it is not complete."""
-    status, content = None, bytearray()
-    while True:
-        try:
-            event = state.next_event()
-        except h11.RemoteProtocolError:
-            # It was cut off.
-            return None
-        if event is h11.NEED_DATA or isinstance(event, h11.ConnectionClosed):
-            return None
-        if isinstance(event, h11.Response):
-            status = event.status_code
-        elif isinstance(event, h11.Data):
-            content += event.data
-        elif isinstance(event, h11.EndOfMessage):
-            return status, bytes(content)
--- a/search/clock.py
+++ b/search/clock.py
@@ -18,12 +18,29 @@
 
 
 class VirtualLoop(asyncio.SelectorEventLoop):
-    """An event loop in virtual time, without sockets of its own scenarios."""
+    """An event loop in virtual time, without real sockets.
+
+    Attributes:
+        accepts: Dict by address of the functions that make a connection to it: each
+            takes a protocol and returns its transport. Other addresses refuse.
+    """
 
     def __init__(self):
         self._clock = _Clock()
+        self.accepts = {}
         super().__init__(self._clock)
 
+    async def create_connection(self, protocol_factory, *address, **options):
+        """Return the transport and the protocol of a simulated connection.
+
+        Raises:
+            ConnectionRefusedError: Nobody accepts connections at the address.
+        """
+        if address not in self.accepts:
+            raise ConnectionRefusedError(f"{address} refuses connections")
+        protocol = protocol_factory()
+        return self.accepts[address](protocol), protocol
+
     def time(self):
         """Return the virtual time in seconds."""
         return self._clock.now_s
--- a/search/messages.py
+++ b/search/messages.py
@@ -11,7 +11,17 @@
 from sesamespring.http.pipeline import READ_BYTES, WRITE_BUFFER_BYTES
 from sesamespring.http.turns import EVENTS_PER_TURN, PAUSE_S
 
-__all__ = ["Body", "around", "bodies", "delays_s", "digest", "links", "body_sizes"]
+__all__ = [
+    "Body",
+    "around",
+    "bodies",
+    "body_sizes",
+    "delays_s",
+    "digest",
+    "framed",
+    "framing_field",
+    "links",
+]
 
 
 @attrs.frozen
@@ -34,19 +44,28 @@
     @property
     def field(self):
         """The header field that says where it ends."""
-        if self.chunk_size:
-            return b"Transfer-Encoding: chunked\r\n"
-        return b"Content-Length: %d\r\n" % self.size
+        return framing_field(self.size, self.chunk_size)
 
     @property
     def framed(self):
         """The content as it is sent."""
-        content = self.content
-        if not self.chunk_size:
-            return content
-        starts = range(0, self.size, self.chunk_size)
-        pieces = [content[start : start + self.chunk_size] for start in starts]
-        return b"".join(b"%x\r\n%b\r\n" % (len(p), p) for p in pieces) + b"0\r\n\r\n"
+        return framed(self.content, self.chunk_size)
+
+
+def framing_field(size, chunk_size):
+    """Return the header field that says where a body ends; without chunks by length."""
+    if chunk_size:
+        return b"Transfer-Encoding: chunked\r\n"
+    return b"Content-Length: %d\r\n" % size
+
+
+def framed(content, chunk_size):
+    """Return a body as it is sent, in chunks unless ``chunk_size`` is 0."""
+    if not chunk_size:
+        return content
+    starts = range(0, len(content), chunk_size)
+    pieces = [content[start : start + chunk_size] for start in starts]
+    return b"".join(b"%x\r\n%b\r\n" % (len(p), p) for p in pieces) + b"0\r\n\r\n"
 
 
 def around(*bounds):
--- a/search/runner.py
+++ b/search/runner.py
@@ -11,6 +11,11 @@
     callers_that_read_late,
     check_callers,
 )
+from search.forwarding import (
+    check_forwarding,
+    forwarding,
+    forwarding_of_long_failures,
+)
 from search.targets import (
     check_targets,
     targets,
@@ -38,6 +43,10 @@
     "callers": Search(callers, check_callers),
     "callers-that-offer-more": Search(callers_that_offer_more, check_callers),
     "callers-that-read-late": Search(callers_that_read_late, check_callers),
+    "forwarding": Search(forwarding, check_forwarding),
+    "forwarding-of-long-failures": Search(
+        forwarding_of_long_failures, check_forwarding
+    ),
     "targets": Search(targets, check_targets),
     "targets-that-answer-early": Search(targets_that_answer_early, check_targets),
     "targets-that-go-on-sending": Search(targets_that_go_on_sending, check_targets),
