Let callers of the search leave, send ahead and in pieces

Why: forwarding was searched with one request a connection, sent at once, by callers that stay. What relates reading, parsing and answering to each other needs kept connections, requests sent ahead and callers that leave. A mutant that passes a streamed response on without its end was not found, as no drawn response was both cut off and over what is buffered.

Change: requests go apart, kept or ahead, in pieces with pauses, and callers may leave at any time; responses lack a byte, some, or 100,000. An error in what a play itself does is an error of the play.

--- a/search/callers.py
+++ b/search/callers.py
@@ -176,7 +176,8 @@
         self._link.peer.close()
         for task in tasks:
             task.cancel()
-        await asyncio.wait(tasks)
+        await asyncio.gather(*tasks, return_exceptions=True)
+        clock.raise_errors(tasks)
         await asyncio.sleep(GONE_S)
         assert self._connections.in_progress == 0, "a request is still handled"
         assert self._connections.memory.used_bytes == 0, "memory is still counted"
--- a/search/clock.py
+++ b/search/clock.py
@@ -3,7 +3,7 @@
 import asyncio
 import selectors
 
-__all__ = ["Busy", "NothingLeft", "VirtualLoop", "run"]
+__all__ = ["Busy", "NothingLeft", "VirtualLoop", "raise_errors", "run"]
 
 # Rounds of the loop in which no time passes, far more than any scenario needs.
 ROUNDS_MAX = 200_000
@@ -95,3 +95,10 @@
         loop.call_soon(loop.stop)
         loop.run_forever()
         loop.close()
+
+
+def raise_errors(tasks):
+    """Raise the error of a task that has ended with one."""
+    for task in tasks:
+        if task.done() and not task.cancelled() and task.exception() is not None:
+            raise task.exception()
--- a/search/forwarding.py
+++ b/search/forwarding.py
@@ -33,12 +33,13 @@
 # By this time after its timeout, each request has its answer or a closed connection.
 LATE_S = 0.5
 POLL_S = 0.02
+# More than the time between the pieces of what a caller sends.
+PIECES_S_MAX = 1.0
 # After this a connection that its caller has left holds nothing.
 GONE_S = 30.0
-TARGETS = 2
 # Statuses that promise that the request has not run, and never will.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
-GOOD = Answer(200, False, 20, "length", False, False, 0.0)
+GOOD = Answer(200, False, 20, "length", 0, False, 0.0)
 
 
 @attrs.frozen
@@ -68,16 +69,24 @@
 
 @attrs.frozen
 class ForwardingInput:
-    """Requests of one caller on one connection, each sent behind the last answer.
+    """Requests of one caller.
 
     Attributes:
         requests: List of Request.
+        manner: "apart", each on a connection of its own; "kept", each behind the answer
+            to the last one; or "ahead", all sent at once on one connection.
+        pieces: Pairs of the size of a piece that is sent and the time after it, for the
+            first bytes on a connection.
+        leaves_s: Time after which the caller leaves each connection, or None.
         hedges: Whether a slow attempt at a safe request gets another one beside it.
-        reads_after_s: Time before the caller reads each answer.
+        reads_after_s: Time before the caller reads what comes on a connection.
         link: The LinkShape of all connections.
     """
 
     requests: list
+    manner: str
+    pieces: list
+    leaves_s: float | None
     hedges: bool
     reads_after_s: float
     link: LinkShape
@@ -93,6 +102,9 @@
     return st.builds(
         ForwardingInput,
         requests=st.lists(request, min_size=1, max_size=3),
+        manner=st.sampled_from(["apart", "kept", "ahead"]),
+        pieces=st.lists(st.tuples(st.integers(1, 600_000), delays_s), max_size=3),
+        leaves_s=st.sampled_from([None, None, None, 0.0, 0.0025, 0.15]),
         hedges=st.booleans(),
         reads_after_s=delays_s,
         link=links,
@@ -105,76 +117,131 @@
 
 def check_forwarding(drawn):
     """Play a ForwardingInput; raise AssertionError for each promise that is broken."""
-    clock.run(_play(drawn))
 
+    async def play():
+        await _Play(drawn).run()
 
-async def _play(drawn):
-    loop = asyncio.get_running_loop()
-    attempts = collections.Counter()
+    clock.run(play())
 
-    def choose(request_id):
-        planned = drawn.requests[int(request_id)].answers
-        number = attempts[request_id]
-        attempts[request_id] += 1
-        return planned[number] if number < len(planned) else GOOD
 
-    targets = [SimulatedTarget(drawn.link, choose) for _ in range(TARGETS)]
-    addresses = [(f"192.0.2.{number}", 80) for number in range(1, TARGETS + 1)]
-    for address, target in zip(addresses, targets, strict=True):
-        loop.accepts[address] = target.accept
-    context = make_context(addresses, drawn.hedges)
-    errors = []
+class _Play:
+    """The play of one ForwardingInput."""
 
-    async def handle(incoming):
-        await RequestForwarder(incoming, context).run()
+    def __init__(self, drawn):
+        self._drawn = drawn
+        self._loop = asyncio.get_running_loop()
+        self._attempts = collections.Counter()
+        # Status of the response to each request that had one, by its number.
+        self._statuses = {}
+        self._last_s = self._loop.time() + TIMEOUT_S
+        self._errors = []
+        self._context = None
+        self._connections = CallerConnections(
+            self._handle, 8, on_error=lambda _, error: self._errors.append(error)
+        )
 
-    connections = CallerConnections(
-        handle, 8, on_error=lambda _, error: errors.append(error)
-    )
-    statuses = []
-    for number, request in enumerate(drawn.requests):
-        peer = Link(CallerConnection(connections), drawn.link).peer
-        statuses.append(await _call(peer, number, request, drawn.reads_after_s))
-        peer.close()
-        for error in errors:
+    async def run(self):
+        """Play, and check the promises."""
+        targets = [SimulatedTarget(self._drawn.link, self._choose) for _ in range(2)]
+        for number, target in enumerate(targets):
+            self._loop.accepts[(f"192.0.2.{number}", 80)] = target.accept
+        self._context = make_context(list(self._loop.accepts), self._drawn.hedges)
+        numbers = range(len(self._drawn.requests))
+        groups = [numbers] if self._drawn.manner != "apart" else [[n] for n in numbers]
+        for group in groups:
+            await self._call(list(group))
+        for error in self._errors:
             raise error
-    await asyncio.sleep(GONE_S)
-    for number, request in enumerate(drawn.requests):
-        runs = sum(target.runs.count(b"%d" % number) for target in targets)
-        _check_runs(request, statuses[number], runs)
-    assert connections.in_progress == 0, "a request is still handled"
-    assert connections.memory.used_bytes == 0, "memory is still counted"
-
-
-async def _call(peer, number, request, reads_after_s):
-    """Make a request, check its response, and return the status or None."""
-    loop = asyncio.get_running_loop()
-    request_id = b"%d" % number
-    last_s = loop.time() + TIMEOUT_S + LATE_S
-    peer.pause(True)
-    peer.send(request.message(request_id))
-    await asyncio.sleep(reads_after_s)
-    peer.pause(False)
-    while loop.time() < last_s:
-        complete = read_responses(bytes(peer.received), [b"POST"], peer.at_end)
-        if complete or peer.at_end:
-            break
-        await asyncio.sleep(POLL_S)
-    assert complete or peer.at_end, f"request {number} has no final answer"
-    status, content = complete[0] if complete else (None, b"")
-    if status == 200:
-        whole = [a.content(request_id) for a in (*request.answers, GOOD) if a.is_whole]
-        assert content in whole, f"request {number} got another response, or a part"
-    elif (request.answers or [GOOD])[0].is_good:
-        raise AssertionError(f"request {number}, run well at once, got {status}")
-    return status
-
-
-def _check_runs(request, status, runs):
-    """Check how often a request has run against what its caller was told."""
-    if status == 200:
-        assert runs, "answered and not run"
-    if not request.is_safe:
-        assert runs <= 1, f"ran {runs} times"
-        refused = status in NOT_RUN_STATUSES
-        assert not (refused and runs), f"answered {status}, which denies that it ran"
+        await asyncio.sleep(GONE_S)
+        for number in numbers:
+            runs = sum(target.runs.count(b"%d" % number) for target in targets)
+            self._check_runs(number, runs)
+        assert self._connections.in_progress == 0, "a request is still handled"
+        assert self._connections.memory.used_bytes == 0, "memory is still counted"
+
+    async def _handle(self, incoming):
+        await RequestForwarder(incoming, self._context).run()
+
+    def _choose(self, request_id):
+        """Return the Answer to the next attempt at a request."""
+        planned = self._drawn.requests[int(request_id)].answers
+        number = self._attempts[request_id]
+        self._attempts[request_id] += 1
+        return planned[number] if number < len(planned) else GOOD
+
+    async def _call(self, numbers):
+        """Make requests on one connection, and check their responses."""
+        peer = Link(CallerConnection(self._connections), self._drawn.link).peer
+        tasks = [
+            self._loop.create_task(self._send(peer, numbers)),
+            self._loop.create_task(self._read_and_leave(peer)),
+        ]
+        complete = []
+        while len(complete) < len(numbers) and not peer.at_end:
+            await asyncio.sleep(POLL_S)
+            complete = self._complete(peer, numbers)
+            is_late = self._loop.time() > self._last_s + LATE_S
+            assert not is_late, f"request {numbers[len(complete)]} has no final answer"
+            if tasks[1].done() and self._drawn.leaves_s is not None:
+                break
+        complete = self._complete(peer, numbers)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        clock.raise_errors(tasks)
+        peer.close()
+        for number, (status, content) in zip(numbers, complete, strict=False):
+            self._statuses[number] = status
+            self._check_response(number, status, content)
+
+    def _complete(self, peer, numbers):
+        """Return the complete responses that have come."""
+        return read_responses(
+            bytes(peer.received), [b"POST"] * len(numbers), peer.at_end
+        )
+
+    async def _send(self, peer, numbers):
+        """Send requests ahead, or each when the last one is answered."""
+        is_ahead = self._drawn.manner == "ahead"
+        messages = [self._drawn.requests[n].message(b"%d" % n) for n in numbers]
+        pieces = iter(self._drawn.pieces)
+        for number, message in enumerate(
+            [b"".join(messages)] if is_ahead else messages
+        ):
+            while len(self._complete(peer, numbers[:number])) < number:
+                await asyncio.sleep(POLL_S)
+            # Later than the time limit of any of these: it counts from their heads.
+            self._last_s = self._loop.time() + TIMEOUT_S + PIECES_S_MAX
+            for size, wait_s in pieces:
+                peer.send(message[:size])
+                message = message[size:]
+                await asyncio.sleep(wait_s)
+            peer.send(message)
+
+    async def _read_and_leave(self, peer):
+        peer.pause(True)
+        await asyncio.sleep(self._drawn.reads_after_s)
+        peer.pause(False)
+        if self._drawn.leaves_s is not None:
+            await asyncio.sleep(self._drawn.leaves_s)
+            peer.close()
+
+    def _check_response(self, number, status, content):
+        request = self._drawn.requests[number]
+        planned = (*request.answers, GOOD)
+        if status == 200:
+            whole = [a.content(b"%d" % number) for a in planned if a.is_whole]
+            assert content in whole, f"request {number} got another response, or a part"
+        else:
+            is_good = planned[0].is_good
+            assert not is_good, f"request {number}, run well at once, got {status}"
+
+    def _check_runs(self, number, runs):
+        """Check how often a request has run against what its caller was told."""
+        status = self._statuses.get(number)
+        if status == 200:
+            assert runs, f"request {number} was answered and not run"
+        if not self._drawn.requests[number].is_safe:
+            assert runs <= 1, f"request {number} ran {runs} times"
+            is_denied = status in NOT_RUN_STATUSES and runs
+            assert not is_denied, f"{status} denies that request {number} has run"
--- a/search/simulated_target.py
+++ b/search/simulated_target.py
@@ -27,7 +27,8 @@
         rejects: Whether it doesn't run the request, and says so.
         size: Bytes of the response's body.
         framing: How the body is framed: "length", "chunked" or "close".
-        is_cut: Whether the connection ends inside the response.
+        missing: Bytes that are missing at the end of the response, as the connection
+            ends before; 0 if it is complete.
         is_early: Whether it responds before it has read the request's body.
         wait_s: Time before the response.
     """
@@ -36,7 +37,7 @@
     rejects: bool
     size: int
     framing: str
-    is_cut: bool
+    missing: int
     is_early: bool
     wait_s: float
 
@@ -48,7 +49,7 @@
     @property
     def is_whole(self):
         """Whether the target sends a complete response."""
-        return self.status > 0 and not self.is_cut
+        return self.status > 0 and not self.missing
 
     @property
     def is_good(self):
@@ -73,7 +74,7 @@
             chunk_size = CHUNK_BYTES if self.framing == "chunked" else 0
             start += framing_field(len(content), chunk_size) + b"\r\n"
             message = start + framed(content, chunk_size)
-        return message[: len(message) // 2] if self.is_cut else message
+        return message[: max(0, len(message) - self.missing)]
 
 
 _short = st.integers(0, 2000)
@@ -88,7 +89,7 @@
         rejects=st.just(False),
         size=sizes,
         framing=st.sampled_from(["length", "length", "chunked", "close"]),
-        is_cut=st.sampled_from([False, False, False, True]),
+        missing=st.sampled_from([0, 0, 0, 1, 100_000]),
         is_early=st.sampled_from([False, False, False, True]),
         wait_s=delays_s,
     )
@@ -102,7 +103,7 @@
     rejects=st.just(True),
     size=st.just(0),
     framing=st.just("length"),
-    is_cut=st.just(False),
+    missing=st.just(0),
     is_early=st.booleans(),
     wait_s=delays_s,
 )
@@ -153,7 +154,7 @@
             await asyncio.sleep(answer.wait_s)
             if answer.status:
                 peer.send(answer.message(request_id))
-            if answer.status and answer.is_cut and answer.framing == "close":
+            if answer.status and answer.missing and answer.framing == "close":
                 # Only a reset shows that more should have followed.
                 peer.reset()
                 return
