--- a/search/__main__.py
+++ b/search/__main__.py
@@ -17,9 +17,9 @@
 
     Args:
         names: What to search, of callers, callers-that-offer-more,
-            callers-that-read-late, forwarding, forwarding-of-long-failures, targets,
-            targets-that-answer-early and targets-that-go-on-sending; all of them
-            unless given.
+            callers-that-read-late, callers-that-send-on, forwarding,
+            forwarding-of-long-failures, targets, targets-that-answer-early and
+            targets-that-go-on-sending; all of them unless given.
         seed: Seed of what is drawn; the current Unix time unless given.
         count: Number of inputs for each.
         shrink: Whether to make an input that breaks a promise as short as possible.
--- a/search/callers.py
+++ b/search/callers.py
@@ -20,6 +20,7 @@
     "callers",
     "callers_that_offer_more",
     "callers_that_read_late",
+    "callers_that_send_on",
     "check_callers",
 ]
 
@@ -34,8 +35,14 @@
 # ahead, the read that goes over it, and the rest of the read that its head came with.
 UNPARSED_BYTES_MAX = 3 * READ_BYTES
 POLL_S = 0.02
-# Fields that are to be ignored; HTTP clients of widespread libraries send the second.
-PLAIN_FIELDS = (b"", b"Connection: keep-alive\r\n")
+CLOSE = b"Connection: close\r\n"
+# Fields that HTTP clients of widespread libraries send, to be obeyed or ignored.
+PLAIN_FIELDS = (
+    *[b""] * 8,
+    b"Connection: keep-alive\r\n",
+    b"Expect: 100-continue\r\n",
+    CLOSE,
+)
 OFFERS = (
     b"Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\nHTTP2-Settings: AAMA\r\n",
     b"Connection: Upgrade\r\nUpgrade: websocket\r\n",
@@ -104,7 +111,7 @@
     link: LinkShape
 
 
-def _inputs(fields=PLAIN_FIELDS, reads_after_s=delays_s):
+def _inputs(fields=PLAIN_FIELDS, reads_after_s=delays_s, sends_on=False):
     request = st.builds(
         Request,
         method=st.sampled_from([b"POST", b"POST", b"GET", b"HEAD"]),
@@ -117,9 +124,10 @@
         response_size=body_sizes,
         parts=st.integers(0, 3),
     )
+    requests = st.lists(request, min_size=1, max_size=5)
     return st.builds(
         CallersInput,
-        requests=st.lists(request, min_size=1, max_size=5),
+        requests=requests if sends_on else requests.map(_until_close),
         pieces=st.lists(st.tuples(st.integers(1, 3000), delays_s), max_size=4),
         reads_after_s=reads_after_s,
         leaves=st.sampled_from([None, None, "end", "close", "reset"]),
@@ -129,9 +137,17 @@
     )
 
 
+def _until_close(requests):
+    """Return the requests up to the first that is to be the last on its connection."""
+    last = (n for n, request in enumerate(requests, 1) if request.fields == CLOSE)
+    return requests[: next(last, None)]
+
+
 callers = _inputs()
-callers_that_offer_more = _inputs(fields=PLAIN_FIELDS + OFFERS)
+callers_that_offer_more = _inputs(fields=(b"", *OFFERS))
 callers_that_read_late = _inputs(reads_after_s=st.sampled_from([0.0, 3.0]))
+# RFC 9112, 9.6: such a caller is wrong, but it has to get the responses before the end.
+callers_that_send_on = _inputs(fields=(b"", CLOSE), sends_on=True)
 
 
 def check_callers(drawn):
@@ -285,9 +301,9 @@
             assert content == whole, f"request {number} got another response"
         if drawn.leaves:
             return
-        last = self._last_without_body()
+        last = self._last_before_close()
         if last is not None:
-            # Behind a request whose body is not taken, the connection may close.
+            # What is behind it need not be handled, and is not answered then.
             assert len(complete) > min(last, len(expected) - 1), "not answered"
         elif drawn.stop_s is None:
             assert len(complete) == len(drawn.requests), "not answered"
@@ -295,11 +311,15 @@
         else:
             assert len(complete) == len(self._handled), "handled and cut off"
 
-    def _last_without_body(self):
-        """Return the number of the first request whose body isn't taken, or None."""
-        numbers = range(len(self._drawn.requests))
-        skipped = (n for n in numbers if not self._drawn.requests[n].takes_body)
-        return next(skipped, None)
+    def _last_before_close(self):
+        """Return the number of the first request that may end the connection, or None.
+
+        That is one that asks for it, or whose body is not taken.
+        """
+        for number, request in enumerate(self._drawn.requests):
+            if request.fields == CLOSE or not request.takes_body:
+                return number
+        return None
 
 
 async def _respond(incoming, content, parts):
--- a/search/runner.py
+++ b/search/runner.py
@@ -9,6 +9,7 @@
     callers,
     callers_that_offer_more,
     callers_that_read_late,
+    callers_that_send_on,
     check_callers,
 )
 from search.forwarding import (
@@ -43,6 +44,7 @@
     "callers": Search(callers, check_callers),
     "callers-that-offer-more": Search(callers_that_offer_more, check_callers),
     "callers-that-read-late": Search(callers_that_read_late, check_callers),
+    "callers-that-send-on": Search(callers_that_send_on, check_callers),
     "forwarding": Search(forwarding, check_forwarding),
     "forwarding-of-long-failures": Search(
         forwarding_of_long_failures, check_forwarding
