--- a/search/callers.py
+++ b/search/callers.py
@@ -160,11 +160,11 @@
 
     def __init__(self, drawn):
         self._drawn = drawn
-        # Numbers of the requests that were handled, and what was responded to each.
-        self._handled = []
         # Where each request begins in what the caller sends.
         lengths = [len(r.message(n)) for n, r in enumerate(drawn.requests)]
         self._starts = list(itertools.accumulate(lengths, initial=0))
+        # Numbers of the requests that were handled, and what was responded to each.
+        self._handled = []
         self._responses = {}
         self._errors = []
         self._connections = CallerConnections(
@@ -203,11 +203,8 @@
         number = int(incoming.target[1:])
         assert number not in self._handled, f"request {number} was handled twice"
         self._handled.append(number)
-        parsed_bytes = self._starts[number] + len(
-            self._drawn.requests[number].head(number)
-        )
-        unparsed_bytes = self._link.transport.delivered_bytes - parsed_bytes
-        assert unparsed_bytes <= UNPARSED_BYTES_MAX, f"{unparsed_bytes} bytes held"
+        held_bytes = self._read_behind_head(number)
+        assert held_bytes <= UNPARSED_BYTES_MAX, f"{held_bytes} bytes unparsed"
         request = self._drawn.requests[number]
         await asyncio.sleep(request.takes_after_s)
         self._check_held(number, incoming)
