Search requests that another VM sends on

Why: where a VM does not reach a target, another one makes the attempt, and says of it whether it was sent: one more place that decides whether a request may run again. The search had no second VM.

Change: in half of the plays of forwarding the VM reaches no target, and asks another one, which is the product's RelayServer on connections of its own.

--- a/search/forwarding.py
+++ b/search/forwarding.py
@@ -9,6 +9,7 @@
 from search import clock
 from search.link import Link, LinkShape
 from search.messages import delays_s, links
+from search.relay import RelayVm
 from search.responses import read_responses
 from search.simulated_target import (
     Answer,
@@ -16,7 +17,13 @@
     answers,
     answers_with_long_failures,
 )
-from search.surroundings import ATTEMPTS_MAX, SAFE, UNSAFE, make_context
+from search.surroundings import (
+    ATTEMPTS_MAX,
+    SAFE,
+    UNSAFE,
+    make_context,
+    make_member,
+)
 from sesamespring.gateway.callers.caller_connections import CallerConnections
 from sesamespring.gateway.callers.forwarding import RequestForwarder
 from sesamespring.http.pipeline import CallerConnection
@@ -37,6 +44,7 @@
 PIECES_S_MAX = 1.0
 # After this a connection that its caller has left holds nothing.
 GONE_S = 30.0
+RELAY_ADDRESS = ("192.0.2.100", 80)
 # Statuses that promise that the request has not run, and never will.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 GOOD = Answer(200, False, 20, "length", 0, False, 0.0)
@@ -79,6 +87,7 @@
             first bytes on a connection.
         leaves_s: Time after which the caller leaves each connection, or None.
         hedges: Whether a slow attempt at a safe request gets another one beside it.
+        is_relayed: Whether the VM reaches no target, and another VM reaches all.
         reads_after_s: Time before the caller reads what comes on a connection.
         link: The LinkShape of all connections.
     """
@@ -88,6 +97,7 @@
     pieces: list
     leaves_s: float | None
     hedges: bool
+    is_relayed: bool
     reads_after_s: float
     link: LinkShape
 
@@ -106,6 +116,7 @@
         pieces=st.lists(st.tuples(st.integers(1, 600_000), delays_s), max_size=3),
         leaves_s=st.sampled_from([None, None, None, 0.0, 0.0025, 0.15]),
         hedges=st.booleans(),
+        is_relayed=st.booleans(),
         reads_after_s=delays_s,
         link=links,
     )
@@ -137,7 +148,7 @@
         self._errors = []
         self._context = None
         self._connections = CallerConnections(
-            self._handle, 8, on_error=lambda _, error: self._errors.append(error)
+            self._handle, 8, on_error=self._record_error
         )
 
     async def run(self):
@@ -145,7 +156,7 @@
         targets = [SimulatedTarget(self._drawn.link, self._choose) for _ in range(2)]
         for number, target in enumerate(targets):
             self._loop.accepts[(f"192.0.2.{number}", 80)] = target.accept
-        self._context = make_context(list(self._loop.accepts), self._drawn.hedges)
+        self._context = self._make_context(list(self._loop.accepts))
         numbers = range(len(self._drawn.requests))
         groups = [numbers] if self._drawn.manner != "apart" else [[n] for n in numbers]
         for group in groups:
@@ -159,6 +170,19 @@
         assert self._connections.in_progress == 0, "a request is still handled"
         assert self._connections.memory.used_bytes == 0, "memory is still counted"
 
+    def _make_context(self, addresses):
+        """Return the GatewayContext of the VM, and start another one if it needs it."""
+        hedges = self._drawn.hedges
+        if not self._drawn.is_relayed:
+            return make_context(addresses, hedges)
+        relay = RelayVm(addresses, self._drawn.link, self._record_error)
+        self._loop.accepts[RELAY_ADDRESS] = relay.accept
+        unreachable = [(f"198.51.100.{number}", 80) for number in range(len(addresses))]
+        return make_context(unreachable, hedges, [make_member(RELAY_ADDRESS)])
+
+    def _record_error(self, request, error):
+        self._errors.append(error)
+
     async def _handle(self, incoming):
         await RequestForwarder(incoming, self._context).run()
 
--- a/search/link.py
+++ b/search/link.py
@@ -118,6 +118,11 @@
         self.reads = True
         self.at_end = False
 
+    @property
+    def is_reset(self):
+        """Whether the other side has reset the connection."""
+        return self._inbound.is_reset
+
     def send(self, data):
         """Send bytes, unless the connection is reset."""
         if not self._outbound.is_reset:
--- a/search/surroundings.py
+++ b/search/surroundings.py
@@ -1,7 +1,7 @@
 """What surrounds a request in the daemon, as far as its forwarding needs it.
 
 Connections, attempts and the forwarding itself are the product's; slots are granted at
-once, and nothing is known of other VMs.
+once.
 """
 
 import asyncio
@@ -19,7 +19,14 @@
 from sesamespring.routing.messages import Dispatch
 from sesamespring.routing.records import Route, TargetEntry
 
-__all__ = ["ATTEMPTS_MAX", "BODY_BYTES_MAX", "SAFE", "UNSAFE", "make_context"]
+__all__ = [
+    "ATTEMPTS_MAX",
+    "BODY_BYTES_MAX",
+    "SAFE",
+    "UNSAFE",
+    "make_context",
+    "make_member",
+]
 
 ATTEMPTS_MAX = 3
 BODY_BYTES_MAX = 4 * 1024 * 1024
@@ -73,6 +80,7 @@
 
     ready = True
     account_keys = None
+    closed_data_centres = frozenset()
 
     def __init__(self, entries):
         limits = types.SimpleNamespace(body_bytes_max=BODY_BYTES_MAX)
@@ -166,12 +174,28 @@
             slot.timer = None
 
 
-def make_context(addresses, hedges):
+def make_member(address):
+    """Return what a VM knows of another one that reaches all targets."""
+    return types.SimpleNamespace(
+        name="other",
+        incarnation=1,
+        address=address,
+        callers_port=address[1],
+        cores=1,
+        leaving=False,
+        reaches=lambda service: True,
+        reaches_no_target=False,
+        unreachable_services=(),
+    )
+
+
+def make_context(addresses, hedges=False, members=()):
     """Return the GatewayContext of a VM whose targets have these addresses.
 
     Args:
         addresses: List of pairs of IP and port.
         hedges: Whether a slow attempt at a safe request gets another one beside it.
+        members: The other VMs that it knows, see ``make_member``.
     """
     entries = [
         TargetEntry(f"t{number}", 1, SERVICE, address, "dc", 8, False, 0.0)
@@ -180,7 +204,8 @@
     log, counters = _Log(), Counters()
     cluster_state = _ClusterState(entries)
     pools = [TargetConnectionPool(lambda: None) for _ in range(2)]
-    paths = TargetPaths(types.SimpleNamespace(alive={}), *pools, log)
+    peers = types.SimpleNamespace(alive={member.name: member for member in members})
+    paths = TargetPaths(peers, *pools, log)
     paths.set_targets(entries)
     return GatewayContext(
         cluster_state=cluster_state,
