Search stops of a process while requests are forwarded

Why: at a stop, what is in progress goes on, and what connections may still take in is decided in several places. Only connections with a handler of the search's own were stopped.

Change: in some plays of forwarding the process begins to stop, in the order of the daemon (search/stopping.py, which the callers' plays use too). A request that has run, whose targets have answered well, and those before it on its connection, must have a complete response. Answers may take 3 s.

A first form of the check asked for a response behind a broken one on the same connection, which nobody promises.

--- a/search/callers.py
+++ b/search/callers.py
@@ -11,6 +11,7 @@
 from search.link import Link, LinkShape
 from search.messages import Body, bodies, body_sizes, delays_s, digest, links
 from search.responses import read_responses
+from search.stopping import stop
 from sesamespring.gateway.callers.caller_connections import CallerConnections
 from sesamespring.http.incoming import BODY_BUFFER_BYTES, CallerDisconnected
 from sesamespring.http.pipeline import READ_BYTES, CallerConnection, ServerLimits
@@ -28,7 +29,6 @@
 CALM_S = 14.0
 # After this a connection that its caller has left holds nothing.
 GONE_S = 30.0
-GRACE_S = 8.0
 HEAD_BYTES_MAX = 2 * READ_BYTES
 LIMITS = ServerLimits(HEAD_BYTES_MAX, head_timeout_s=3.0, idle_timeout_s=15.0)
 # What may be read and not parsed when a request is handed to its handler: what is read
@@ -252,20 +252,8 @@
         self._link.peer.pause(False)
 
     async def _stop(self):
-        """Stop as the daemon does, up to the end of its process."""
-        loop = asyncio.get_running_loop()
-        connections = self._connections
         await asyncio.sleep(self._drawn.stop_s)
-        last_s = loop.time() + GRACE_S
-        connections.stop()
-        await asyncio.sleep(GRACE_S / 4)
-        connections.stop_accepting()
-        connections.close_idle()
-        while connections.active and loop.time() < last_s:
-            await asyncio.sleep(POLL_S)
-            connections.close_idle()
-        await asyncio.sleep(POLL_S)
-        connections.close()
+        await stop(self._connections)
 
     async def _wait_until_done(self):
         """Wait until all that may come has come, at most for ``CALM_S``."""
--- a/search/forwarding.py
+++ b/search/forwarding.py
@@ -17,6 +17,7 @@
     answers,
     answers_with_long_failures,
 )
+from search.stopping import stop
 from search.surroundings import (
     ATTEMPTS_MAX,
     SAFE,
@@ -36,7 +37,7 @@
     "forwarding_of_long_failures",
 ]
 
-TIMEOUT_S = 2.0
+TIMEOUT_S = 4.0
 # By this time after its timeout, each request has its answer or a closed connection.
 LATE_S = 0.5
 POLL_S = 0.02
@@ -86,6 +87,7 @@
         pieces: Pairs of the size of a piece that is sent and the time after it, for the
             first bytes on a connection.
         leaves_s: Time after which the caller leaves each connection, or None.
+        stop_s: Time after which the process begins to stop, or None.
         hedges: Whether a slow attempt at a safe request gets another one beside it.
         is_relayed: Whether the VM reaches no target, and another VM reaches all.
         reads_after_s: Time before the caller reads what comes on a connection.
@@ -96,6 +98,7 @@
     manner: str
     pieces: list
     leaves_s: float | None
+    stop_s: float | None
     hedges: bool
     is_relayed: bool
     reads_after_s: float
@@ -115,6 +118,7 @@
         manner=st.sampled_from(["apart", "kept", "ahead"]),
         pieces=st.lists(st.tuples(st.integers(1, 600_000), delays_s), max_size=3),
         leaves_s=st.sampled_from([None, None, None, 0.0, 0.0025, 0.15]),
+        stop_s=st.sampled_from([None, None, None, 0.0, 0.0025, 0.15, 1.9]),
         hedges=st.booleans(),
         is_relayed=st.booleans(),
         reads_after_s=delays_s,
@@ -159,8 +163,11 @@
         self._context = self._make_context(list(self._loop.accepts))
         numbers = range(len(self._drawn.requests))
         groups = [numbers] if self._drawn.manner != "apart" else [[n] for n in numbers]
+        stopping = self._loop.create_task(self._stop())
         for group in groups:
-            await self._call(list(group))
+            if not self._connections.stopping:
+                await self._call(list(group))
+        await stopping
         for error in self._errors:
             raise error
         await asyncio.sleep(GONE_S)
@@ -180,6 +187,11 @@
         unreachable = [(f"198.51.100.{number}", 80) for number in range(len(addresses))]
         return make_context(unreachable, hedges, [make_member(RELAY_ADDRESS)])
 
+    async def _stop(self):
+        if self._drawn.stop_s is not None:
+            await asyncio.sleep(self._drawn.stop_s)
+            await stop(self._connections, self._context.forwarders)
+
     def _record_error(self, request, error):
         self._errors.append(error)
 
@@ -265,7 +277,20 @@
         status = self._statuses.get(number)
         if status == 200:
             assert runs, f"request {number} was answered and not run"
+        elif status is None and self._drawn.leaves_s is None:
+            assert not self._must_be_answered(number, runs), f"{number} was cut off"
         if not self._drawn.requests[number].is_safe:
             assert runs <= 1, f"request {number} ran {runs} times"
             is_denied = status in NOT_RUN_STATUSES and runs
             assert not is_denied, f"{status} denies that request {number} has run"
+
+    def _must_be_answered(self, number, runs):
+        """Return whether a request that has run must have a complete response.
+
+        It must unless targets may not have answered it whole, or one before it on its
+        connection, as a broken response ends the connection.
+        """
+        first = number if self._drawn.manner == "apart" else 0
+        requests = self._drawn.requests[first : number + 1]
+        answers = [answer for request in requests for answer in request.answers]
+        return runs > 0 and all(answer.is_good for answer in answers)
--- a/search/simulated_target.py
+++ b/search/simulated_target.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from search.link import Link
-from search.messages import around, delays_s, framed, framing_field
+from search.messages import around, framed, framing_field
 from sesamespring.gateway.targets.attempt import BUFFERED_BYTES_MAX
 
 __all__ = ["Answer", "SimulatedTarget", "answers", "answers_with_long_failures"]
@@ -78,6 +78,7 @@
 
 
 _short = st.integers(0, 2000)
+_waits_s = st.sampled_from([0.0, 0.0, 0.0, 0.0025, 0.3, 3.0])
 _long = st.one_of(_short, around(BUFFERED_BYTES_MAX))
 
 
@@ -91,7 +92,7 @@
         framing=st.sampled_from(["length", "length", "chunked", "close"]),
         missing=st.sampled_from([0, 0, 0, 1, 100_000]),
         is_early=st.sampled_from([False, False, False, True]),
-        wait_s=delays_s,
+        wait_s=_waits_s,
     )
 
 
@@ -105,11 +106,11 @@
     framing=st.just("length"),
     missing=st.just(0),
     is_early=st.booleans(),
-    wait_s=delays_s,
+    wait_s=_waits_s,
 )
 answers = st.one_of(_successes, _responses(_failures, _short), _rejections)
 answers_with_long_failures = st.one_of(
-    _successes, _responses(_failures, _long), _rejections
+    _successes, _responses(_failures, around(BUFFERED_BYTES_MAX)), _rejections
 )
 
 
--- a/search/surroundings.py
+++ b/search/surroundings.py
@@ -41,7 +41,7 @@
         host="h",
         prefix=f"/{name}/",
         idempotent=idempotent,
-        timeout_s=2.0,
+        timeout_s=4.0,
         goal_s=1.0,
         priority=0,
         attempts_max=ATTEMPTS_MAX,
