--- a/search/transport.py
+++ b/search/transport.py
@@ -9,7 +9,18 @@
 
 
 class Stream:
-    """One direction: the sender's process, its kernel, and the receiver's kernel."""
+    """One direction: the sender's process, its kernel, and the receiver's kernel.
+
+    Args:
+        shape: The LinkShape, which bounds what the kernels hold.
+
+    Attributes:
+        unsent: Bytes that the sender's kernel has not taken yet.
+        sent: Bytes that the sender's kernel holds.
+        arrived: Bytes that the receiver's kernel holds until they are read.
+        ended: Whether the sender sends nothing more.
+        is_reset: Whether the connection was reset by the sender.
+    """
 
     def __init__(self, shape):
         self._shape = shape
@@ -48,6 +59,13 @@
 class SimulatedTransport(asyncio.Transport):
     """The product's side, with the behaviour of asyncio's socket transport.
 
+    Args:
+        link: The Link, which is told when something has changed.
+        protocol: The product's protocol.
+        inbound: The Stream to the product.
+        outbound: The Stream from the product.
+        segments: Sizes, in bytes, of what the product reads at first.
+
     Attributes:
         delivered_bytes: Bytes that the product has read.
     """
