--- a/review/harness_3/deployment.py
+++ b/review/harness_3/deployment.py
@@ -13,7 +13,16 @@
 from standins.platform_target import PlatformTarget
 from standins.store import FakeStore
 
-__all__ = ["GRACE_S", "ROOT", "ZONES", "Deployment", "Vm", "can_run", "is_ready"]
+__all__ = [
+    "GRACE_S",
+    "ROOT",
+    "ZONES",
+    "Deployment",
+    "Platform",
+    "Vm",
+    "can_run",
+    "is_ready",
+]
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 ZONES = ("zone-a", "zone-b", "zone-c")
@@ -26,8 +35,11 @@
 STORE_PORT = 8642
 METRICS_PORT = 9464
 HEARTBEAT_S = 1.5
+PAGE_BYTES_MAX = 1_000_000
 READY_TIMEOUT_S = 20.0
 GRACE_S = 6
+MEMORY_CHECK_S = 0.05
+RESTART_S = 0.5
 # The roles of deploy/system.toml: the words of ``run``, and what the role serves.
 ROLES = {
     "entry": (["--metrics-port", str(METRICS_PORT)], ("front", "ready", "control")),
@@ -125,6 +137,19 @@
 """
 
 
+class PagedStore(FakeStore):
+    """The store, with the other limit of its pages: 500 rows or 1 MB."""
+
+    def _read(self, query):
+        page = super()._read(query)
+        size = 0
+        for count, row in enumerate(page["rows"]):
+            size += len(row["value"]) + len(row["key"])
+            if count and size > PAGE_BYTES_MAX:
+                return {**page, "rows": page["rows"][:count], "hasMore": True}
+        return page
+
+
 class Vm:
     """One process of a role of the deploy file, on a loopback address of its own."""
 
@@ -232,7 +257,7 @@
         self._prefix = f"127.{rng.randint(20, 250)}.{rng.randint(1, 250)}"
         self._folder = tempfile.TemporaryDirectory(prefix="review-3-")
         folder = pathlib.Path(self._folder.name)
-        self.store = FakeStore()
+        self.store = PagedStore()
         self.store_ip = f"{self._prefix}.1"
         store = f"{self.store_ip}:{STORE_PORT}"
         count = vms + directories
@@ -354,6 +379,34 @@
                     await asyncio.sleep(0.1)
 
 
+class Platform:
+    """What the platform does to a process: kill it above its memory, start it again."""
+
+    def __init__(self, vm, record, limit_mb):
+        self.vm = vm
+        self.ends = 0
+        self.most_mb = 0.0
+        self._record = record
+        self._limit_mb = limit_mb
+
+    async def watch(self):
+        """Watch the process until cancelled."""
+        while True:
+            await asyncio.sleep(MEMORY_CHECK_S)
+            memory_mb = self.vm.memory_mb()
+            self.most_mb = max(self.most_mb, memory_mb)
+            if memory_mb <= self._limit_mb and self.vm.exit_code is None:
+                continue
+            self.ends += 1
+            self._record.line(
+                f"{self.vm.name}: {memory_mb:.0f} MB of {self._limit_mb}, exit code"
+                f" {self.vm.exit_code}: killed and started again"
+            )
+            self.vm.kill()
+            await asyncio.sleep(RESTART_S)
+            self.vm.start()
+
+
 async def is_ready(vm):
     """Ask a VM as the platform's check does."""
     try:
